--- /dev/null
+++ b/cmd/mulberrydyke/demo.go
@@ -0,0 +1,86 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"mulberrydyke/load"
+	"mulberrydyke/setting"
+	"mulberrydyke/standin"
+)
+
+const (
+	demoRate = 25.0
+	demoSpan = 5 * time.Second
+	demoRest = 20 * time.Second
+	demoSeed = 1
+)
+
+func demoCommand() *cobra.Command {
+	var once bool
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Runs hosts and stand-ins in one process on loopback and sends requests of several tiers.",
+		Long: `Runs three hosts in three failure domains and stand-ins of the platform, the
+engines and a plain service in one process on loopback. Sends requests of
+several tiers, streams the answers and prints a table by class. Then it stays
+up for requests of your own, or exits with --once.`,
+		Example: "  mulberrydyke demo --once",
+		Args:    cobra.NoArgs,
+		RunE:    func(c *cobra.Command, _ []string) error { return demo(c, once) },
+	}
+	c.Flags().BoolVar(&once, "once", false, "exit after the table")
+	return c
+}
+
+func demo(c *cobra.Command, once bool) error {
+	profile := load.Profiles()["blue-mahoe"]
+	fleet, cleanup, err := load.NewFleet(load.FleetOptions{
+		Profile: profile, Domains: 3, Hosts: 1, Engines: 1,
+		Engine: standin.DefaultEngineOptions(""), Bounds: setting.DefaultBounds(),
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	summary, err := fleet.Drive(c.Context(), "demo", demoSeed, demoRate, demoSpan, demoRest, load.Burst{})
+	if err != nil {
+		return err
+	}
+	if err := summary.WriteTable(c.OutOrStdout()); err != nil {
+		return err
+	}
+	for _, class := range summary.Classes {
+		if class.Whole == 0 || class.Foreign > 0 {
+			return eris.Errorf("class %s: %d whole answers, %d foreign", class.Class, class.Whole, class.Foreign)
+		}
+	}
+	if once {
+		return nil
+	}
+	printTry(c.OutOrStdout(), fleet, profile)
+	return awaitEnd(c.Context())
+}
+
+func printTry(w io.Writer, fleet *load.Fleet, profile load.Profile) {
+	arrival := profile.Arrivals(demoSeed, 1, time.Minute, load.Burst{})[0]
+	fmt.Fprintf(w, "\nTry it (operators' listener: http://%s/v1/status):\n\ncurl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'X-Class: %s' -d '{\"model\":%q,\"stream\":true,\"max_tokens\":8,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n",
+		fleet.Hosts[0].Operators(), fleet.Hosts[0].Callers(), load.KeyOf(arrival.Account), arrival.Class.Class, profile.Model)
+}
+
+func awaitEnd(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/cmd/mulberrydyke/main.go
@@ -0,0 +1,70 @@
+// Command mulberrydyke routes language-model traffic with service levels and
+// priorities.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/setting"
+)
+
+// Exit statuses.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+	exitLists    = 3
+)
+
+// version is the version of the program.
+const version = "0.1.0"
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	root := &cobra.Command{
+		Use:   "mulberrydyke",
+		Short: "Routes language-model traffic with service levels and priorities.",
+		Long: `Routes language-model traffic with service levels and priorities.
+
+Exit statuses: 0 success, 1 failure, 2 bad settings or arguments, 3 bad lists.`,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(serveCommand(), checkCommand(), statusCommand(), loadCommand(), standInCommand(), demoCommand(), versionCommand())
+	root.SetArgs(args)
+	err := root.Execute()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "mulberrydyke:", err)
+	}
+	return exitStatus(err)
+}
+
+func exitStatus(err error) int {
+	var settings *setting.Error
+	var value *plan.ValueError
+	var decode *plan.DecodeError
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &settings):
+		return exitSettings
+	case errors.As(err, &value), errors.As(err, &decode):
+		return exitLists
+	}
+	return exitFailed
+}
+
+func versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Prints the version.",
+		Args:  cobra.NoArgs,
+		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version) },
+	}
+}
--- /dev/null
+++ b/host/duties.go
@@ -0,0 +1,271 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"mulberrydyke/member"
+	"mulberrydyke/peer"
+	"mulberrydyke/placement"
+	"mulberrydyke/plan"
+	"mulberrydyke/pool"
+)
+
+const (
+	beatTimeout = time.Second
+	loadEvery   = 500 * time.Millisecond
+	// loadsAtOnce bounds the load reports that are read at the same time.
+	loadsAtOnce = 32
+	// confirmEvery is how often a scheduler asks the other hosts which of its
+	// grants they still hold.
+	confirmEvery = 3 * time.Second
+)
+
+// startDuties starts the goroutines of the host. Each has one duty.
+func (h *Host) startDuties(ctx context.Context) {
+	h.duties.Go(func() { h.beats(ctx) })
+	h.duties.Go(func() { h.loads(ctx) })
+	h.duties.Go(func() { h.confirms(ctx) })
+	h.duties.Go(func() { h.suspicions(ctx) })
+}
+
+// beats reads the lists once, then exchanges heartbeats and takes up or gives
+// up the roles that follow from who is there.
+func (h *Host) beats(ctx context.Context) {
+	start, cancel := context.WithTimeout(ctx, startTime)
+	h.lists.readOnce(start)
+	h.beatAll(start)
+	cancel()
+	h.lists.started.Store(true)
+	for ctx.Err() == nil {
+		h.takeRoles(ctx)
+		h.sendBeats(ctx, nil)
+		pause(ctx, h.fleet.interval())
+	}
+	h.lists.setReader(ctx, false)
+}
+
+// takeRoles settles whether this host reads the platform and which schedulers
+// it runs.
+func (h *Host) takeRoles(ctx context.Context) {
+	now := time.Now()
+	for _, gone := range h.fleet.forget(now) {
+		h.hostGone(gone)
+	}
+	h.lists.setReader(ctx, h.isReader())
+	h.local.Keep(h.isScheduler)
+}
+
+func (h *Host) isReader() bool {
+	ranked := member.Ranked("platform-reader", h.fleet.Live(h.settings.Domain))
+	for i, host := range ranked {
+		if host.ID == h.settings.ID {
+			return i < readers
+		}
+	}
+	return false
+}
+
+func (h *Host) isScheduler(id pool.ID) bool {
+	ranked := placement.SchedulerOf(id, h.fleet.Live(id.Domain))
+	return len(ranked) > 0 && ranked[0].ID == h.settings.ID
+}
+
+func (h *Host) hostGone(gone member.Former) {
+	e := &pool.HostGone{Host: gone.Host, Incarnation: uint64(gone.Incarnation)}
+	h.local.TellAll(e)
+	h.alone.TellAll(e)
+}
+
+// sendBeats sends a heartbeat to every target without waiting for the answers.
+func (h *Host) sendBeats(ctx context.Context, suspects []pool.Suspect) {
+	for _, address := range h.fleet.targets(time.Now(), h.settings.Peers) {
+		if suspects == nil && !h.fleet.take(address) {
+			continue
+		}
+		h.duties.Go(func() {
+			if suspects == nil {
+				defer h.fleet.release(address)
+			}
+			h.beatOne(ctx, address, suspects)
+		})
+	}
+}
+
+// beatAll sends a heartbeat to every target and waits for the answers.
+func (h *Host) beatAll(ctx context.Context) {
+	var wait sync.WaitGroup
+	for _, address := range h.fleet.targets(time.Now(), h.settings.Peers) {
+		wait.Go(func() { h.beatOne(ctx, address, nil) })
+	}
+	wait.Wait()
+}
+
+// beatOne exchanges heartbeats with the host at address. Where no answer
+// comes, the connection is closed, since it may have gone silent.
+func (h *Host) beatOne(ctx context.Context, address string, suspects []pool.Suspect) {
+	call, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	args := &peer.BeatArgs{Beat: h.fleet.beat(h.State().Versions()), Suspects: suspects}
+	var reply peer.BeatReply
+	err := h.fleet.client.Call(call, address, "Beat", args, &reply)
+	var link *peer.LinkError
+	if errors.As(err, &link) {
+		h.fleet.client.Drop(address)
+	}
+	if err == nil {
+		h.heard(ctx, reply.Beat, reply.Absent)
+	}
+}
+
+// heard takes in another host's heartbeat.
+func (h *Host) heard(ctx context.Context, b member.Beat, absent []plan.HostID) {
+	gone, restarted := h.fleet.seen(time.Now(), b, absent)
+	if restarted {
+		h.hostGone(gone)
+	}
+	h.lists.catchUp(ctx, b.Self, b.Versions)
+}
+
+// gather asks the hosts of a pool's domain what they run in it.
+func (h *Host) gather(ctx context.Context, id pool.ID) []pool.Run {
+	runs := h.placer.Runs(id)
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, host := range h.fleet.hosts() {
+		if host.Condition == member.Dead || host.Self.Peer == "" {
+			continue
+		}
+		wait.Go(func() {
+			var reply peer.RunsReply
+			err := h.fleet.Call(ctx, host.Self, "Runs", &peer.RunsArgs{Pool: id}, &reply)
+			if err != nil || reply.Check() != nil {
+				return
+			}
+			h.local.Accuse(time.Now(), reply.Suspects)
+			mu.Lock()
+			defer mu.Unlock()
+			runs = append(runs, reply.Runs...)
+		})
+	}
+	wait.Wait()
+	return runs
+}
+
+// loads reads the load reports of the engines whose pools are decided here.
+func (h *Host) loads(ctx context.Context) {
+	tick := time.NewTicker(loadEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			h.readLoads(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) readLoads(ctx context.Context) {
+	slots := make(chan struct{}, loadsAtOnce)
+	var wait sync.WaitGroup
+	for _, id := range h.local.Pools() {
+		if id.Kind != plan.Engine {
+			continue
+		}
+		for _, u := range placement.UpstreamsOf(h.State(), id) {
+			slots <- struct{}{}
+			wait.Go(func() {
+				defer func() { <-slots }()
+				h.readLoad(ctx, id, u.ID)
+			})
+		}
+	}
+	wait.Wait()
+}
+
+func (h *Host) readLoad(ctx context.Context, id pool.ID, u plan.UpstreamID) {
+	client, ok := h.set.Client(u)
+	if !ok {
+		return
+	}
+	load, err := client.Load(ctx)
+	if err != nil {
+		return
+	}
+	h.local.Tell(id, &pool.Reported{Upstream: u, Memory: load.Memory, Age: load.Age()})
+}
+
+// confirms checks the schedulers' books against what the hosts still run, so
+// that a lost report costs an upstream's slot for a few seconds only.
+func (h *Host) confirms(ctx context.Context) {
+	tick := time.NewTicker(confirmEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			for _, id := range h.local.Pools() {
+				h.confirm(ctx, id)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) confirm(ctx context.Context, id pool.ID) {
+	asked := time.Now()
+	h.local.Tell(id, h.held(id, asked))
+	var wait sync.WaitGroup
+	for _, host := range h.fleet.hosts() {
+		if host.Condition != member.Alive && host.Condition != member.Leaving {
+			continue
+		}
+		wait.Go(func() {
+			call, cancel := context.WithTimeout(ctx, beatTimeout)
+			defer cancel()
+			var reply peer.HeldReply
+			err := h.fleet.Call(call, host.Self, "Held", &peer.RunsArgs{Pool: id}, &reply)
+			if err != nil || reply.Check() != nil {
+				return
+			}
+			h.local.Tell(id, &pool.Confirmed{
+				Host: host.Self.ID, Incarnation: reply.Incarnation, Held: reply.Held, Asked: asked,
+			})
+		})
+	}
+	wait.Wait()
+}
+
+func (h *Host) held(id pool.ID, asked time.Time) *pool.Confirmed {
+	out := &pool.Confirmed{Host: h.settings.ID, Incarnation: uint64(h.fleet.self.Incarnation), Asked: asked}
+	for _, r := range h.placer.Runs(id) {
+		out.Held = append(out.Held, r.Ask.ID.Sequence)
+	}
+	return out
+}
+
+// suspicions spreads what schedulers here learn of crashes.
+func (h *Host) suspicions(ctx context.Context) {
+	for {
+		select {
+		case <-h.local.Suspicions():
+			h.spread(ctx, h.local.Suspects(time.Now()))
+		case <-h.alone.Suspicions():
+			h.spread(ctx, h.alone.Suspects(time.Now()))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (h *Host) spread(ctx context.Context, suspects []pool.Suspect) {
+	now := time.Now()
+	h.local.Accuse(now, suspects)
+	h.alone.Accuse(now, suspects)
+	if len(suspects) > 0 {
+		h.sendBeats(ctx, suspects)
+	}
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,353 @@
+// Package member decides which entry hosts are there. It joins the platform's
+// lagging list, which says who should exist, with direct heartbeats, which say
+// who is there. It holds no clock and does no I/O.
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mulberrydyke/plan"
+)
+
+const (
+	// beatFirst is the time between heartbeats in a small domain.
+	beatFirst = 500 * time.Millisecond
+	// beatHosts is the size of a domain above which heartbeats become rarer,
+	// so that a host's traffic stays within its budget.
+	beatHosts = 16
+	// suspectBeats and deadBeats are how many missed heartbeats make a host
+	// suspect and dead.
+	suspectBeats = 2
+	deadBeats    = 4
+	// absentLife is how long news of a host from outside its domain counts,
+	// and how long a host without heartbeats is remembered.
+	absentLife = 10 * time.Second
+)
+
+// Incarnation identifies one start of a host's process.
+type Incarnation uint64
+
+// Condition says what a host is good for.
+type Condition string
+
+// Conditions of a host.
+const (
+	Alive   Condition = "live"
+	Suspect Condition = "suspect"
+	Dead    Condition = "dead"
+	Leaving Condition = "leaving"
+)
+
+// Self names this host.
+type Self struct {
+	ID          plan.HostID   `json:"id"`
+	Incarnation Incarnation   `json:"incarnation"`
+	Domain      plan.DomainID `json:"domain"`
+	Region      plan.RegionID `json:"region"`
+	// Peer is the address of the host's listener for peers.
+	Peer string `json:"peer"`
+}
+
+// Beat is what a host says of itself.
+type Beat struct {
+	Self Self `json:"self"`
+	// Leaving is set once a planned stop has begun.
+	Leaving bool `json:"leaving"`
+	// Successor holds the host's tickets after a planned stop.
+	Successor plan.HostID   `json:"successor"`
+	Versions  plan.Versions `json:"versions"`
+}
+
+// Host is what a table knows of another host.
+type Host struct {
+	Self      Self          `json:"self"`
+	Condition Condition     `json:"condition"`
+	Successor plan.HostID   `json:"successor,omitempty"`
+	Versions  plan.Versions `json:"versions"`
+	// Listed says whether the platform lists the host as live.
+	Listed bool `json:"listed"`
+
+	seen    time.Time
+	leaving bool
+	// listedPeer is the address in the platform's list, which goes before the
+	// host's own word.
+	listedPeer string
+}
+
+// Table is what one host knows of the others.
+type Table struct {
+	self    Self
+	leaving bool
+	hosts   map[plan.HostID]*Host
+	// absent holds hosts of other domains that their domain misses.
+	absent map[plan.HostID]time.Time
+	// former gives the successor of each incarnation that left.
+	former map[Former]plan.HostID
+}
+
+// Former names an incarnation that is no more.
+type Former struct {
+	Host        plan.HostID
+	Incarnation Incarnation
+}
+
+const formerMost = 4096
+
+// NewTable returns a table that knows only its own host.
+func NewTable(self Self) *Table {
+	return &Table{
+		self:   self,
+		hosts:  map[plan.HostID]*Host{},
+		absent: map[plan.HostID]time.Time{},
+		former: map[Former]plan.HostID{},
+	}
+}
+
+// Self returns the table's own host.
+func (t *Table) Self() Self { return t.self }
+
+// SetLeaving marks the table's own host as leaving.
+func (t *Table) SetLeaving() { t.leaving = true }
+
+// Listed adopts the platform's list.
+func (t *Table) Listed(list *plan.Hosts) {
+	listed := make(map[plan.HostID]bool, len(list.Hosts))
+	for _, h := range list.Hosts {
+		if h.ID == t.self.ID {
+			continue
+		}
+		listed[h.ID] = true
+		known := t.host(h.ID)
+		known.Listed = h.State == plan.Live
+		known.leaving = known.leaving || h.State == plan.Leaving
+		known.listedPeer = h.Peer
+		if known.seen.IsZero() {
+			known.Self = Self{ID: h.ID, Domain: h.Domain, Region: h.Region}
+		}
+		known.Self.Peer = h.Peer
+	}
+	for id, h := range t.hosts {
+		if !listed[id] {
+			h.Listed = false
+		}
+	}
+}
+
+func (t *Table) host(id plan.HostID) *Host {
+	h := t.hosts[id]
+	if h == nil {
+		h = &Host{}
+		t.hosts[id] = h
+	}
+	return h
+}
+
+// Seen takes in a heartbeat. It returns whether the host began anew, so that
+// what its former incarnation ran is gone.
+func (t *Table) Seen(now time.Time, b Beat) (gone Former, restarted bool) {
+	if b.Self.ID == t.self.ID {
+		return Former{}, false
+	}
+	h := t.host(b.Self.ID)
+	old := h.Self.Incarnation
+	restarted = old != 0 && old != b.Self.Incarnation
+	if restarted {
+		h.Successor = ""
+	}
+	h.Self, h.Versions, h.seen = b.Self, b.Versions, now
+	h.leaving = b.Leaving
+	if h.listedPeer != "" {
+		h.Self.Peer = h.listedPeer
+	}
+	if b.Successor != "" {
+		h.Successor = b.Successor
+		t.rememberFormer(Former{Host: b.Self.ID, Incarnation: b.Self.Incarnation}, b.Successor)
+	}
+	delete(t.absent, b.Self.ID)
+	return Former{Host: b.Self.ID, Incarnation: old}, restarted
+}
+
+func (t *Table) rememberFormer(f Former, successor plan.HostID) {
+	if len(t.former) < formerMost {
+		t.former[f] = successor
+	}
+}
+
+// Successor returns who holds the tickets of an incarnation that left.
+func (t *Table) Successor(f Former) (plan.HostID, bool) {
+	id, ok := t.former[f]
+	return id, ok
+}
+
+// Missing adopts what another domain says of its own hosts.
+func (t *Table) Missing(now time.Time, absent []plan.HostID) {
+	for _, id := range absent {
+		t.absent[id] = now
+	}
+}
+
+// Interval returns the time between heartbeats. It grows with the domain, so
+// that the traffic of one host is bounded.
+func (t *Table) Interval() time.Duration {
+	n := 1
+	for _, h := range t.hosts {
+		if h.Self.Domain == t.self.Domain {
+			n++
+		}
+	}
+	return beatFirst * time.Duration(max(1, (n+beatHosts-1)/beatHosts))
+}
+
+// ConditionOf returns what a host is good for.
+func (t *Table) ConditionOf(now time.Time, id plan.HostID) Condition {
+	if id == t.self.ID {
+		if t.leaving {
+			return Leaving
+		}
+		return Alive
+	}
+	h := t.hosts[id]
+	if h == nil {
+		return Dead
+	}
+	if h.leaving {
+		return Leaving
+	}
+	if h.Self.Domain != t.self.Domain {
+		return t.remote(now, h)
+	}
+	silent := now.Sub(h.seen)
+	switch {
+	case silent < suspectBeats*t.Interval():
+		return Alive
+	case silent < deadBeats*t.Interval():
+		return Suspect
+	}
+	return Dead
+}
+
+// remote judges a host of another domain by that domain's own word.
+func (t *Table) remote(now time.Time, h *Host) Condition {
+	missed, ok := t.absent[h.Self.ID]
+	if ok && now.Sub(missed) < absentLife {
+		return Dead
+	}
+	if h.Listed || now.Sub(h.seen) < absentLife {
+		return Alive
+	}
+	return Dead
+}
+
+// Live returns the hosts of a domain that may be given new work, in order.
+func (t *Table) Live(now time.Time, domain plan.DomainID) []Self {
+	var out []Self
+	if domain == t.self.Domain && !t.leaving {
+		out = append(out, t.self)
+	}
+	for id, h := range t.hosts {
+		if h.Self.Domain == domain && t.ConditionOf(now, id) == Alive {
+			out = append(out, h.Self)
+		}
+	}
+	slices.SortFunc(out, func(a, b Self) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return out
+}
+
+// Absent returns the listed hosts of the own domain that are dead or leaving.
+func (t *Table) Absent(now time.Time) []plan.HostID {
+	var out []plan.HostID
+	for id, h := range t.hosts {
+		if h.Self.Domain != t.self.Domain {
+			continue
+		}
+		if c := t.ConditionOf(now, id); c == Dead || c == Leaving {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Ranked returns hosts by rendezvous hashing for a name, the first choice first.
+func Ranked(name string, hosts []Self) []Self {
+	out := slices.Clone(hosts)
+	score := func(h Self) uint64 { return xxhash.Sum64String(name + "\x00" + string(h.ID)) }
+	slices.SortFunc(out, func(a, b Self) int {
+		sa, sb := score(a), score(b)
+		switch {
+		case sa > sb:
+			return -1
+		case sa < sb:
+			return 1
+		}
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return out
+}
+
+// Find returns what the table knows of a host.
+func (t *Table) Find(now time.Time, id plan.HostID) (Host, bool) {
+	if id == t.self.ID {
+		return Host{Self: t.self, Condition: t.ConditionOf(now, id), Listed: true}, true
+	}
+	h := t.hosts[id]
+	if h == nil {
+		return Host{}, false
+	}
+	out := *h
+	out.Condition = t.ConditionOf(now, id)
+	return out, true
+}
+
+// Hosts returns all other hosts, in order.
+func (t *Table) Hosts(now time.Time) []Host {
+	var out []Host
+	for id := range t.hosts {
+		h, _ := t.Find(now, id)
+		out = append(out, h)
+	}
+	slices.SortFunc(out, func(a, b Host) int { return strings.Compare(string(a.Self.ID), string(b.Self.ID)) })
+	return out
+}
+
+// Forget drops hosts that are neither listed nor heard of for a while. It
+// returns the incarnations that died since the last call.
+func (t *Table) Forget(now time.Time) []Former {
+	var gone []Former
+	for id, h := range t.hosts {
+		if h.seen.IsZero() || now.Sub(h.seen) < absentLife {
+			continue
+		}
+		gone = append(gone, Former{Host: id, Incarnation: h.Self.Incarnation})
+		if !h.Listed {
+			delete(t.hosts, id)
+			continue
+		}
+		h.seen = time.Time{}
+	}
+	return gone
+}
+
+// Targets returns the hosts to send heartbeats to: all of the own domain, and
+// one of each other domain, another one at each turn.
+func (t *Table) Targets(now time.Time, turn int) []Self {
+	var out []Self
+	others := map[plan.DomainID][]Self{}
+	for _, h := range t.Hosts(now) {
+		switch {
+		case h.Self.Peer == "" || h.Condition == Leaving && !h.Listed && now.Sub(h.seen) > absentLife:
+		case h.Self.Domain == t.self.Domain:
+			out = append(out, h.Self)
+		default:
+			others[h.Self.Domain] = append(others[h.Self.Domain], h.Self)
+		}
+	}
+	for _, hosts := range others {
+		out = append(out, hosts[turn%len(hosts)])
+	}
+	return out
+}
--- /dev/null
+++ b/pool/dispatch.go
@@ -0,0 +1,231 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"mulberrydyke/plan"
+)
+
+// dispatch grants as many waiting requests as there is room for. Floors whose
+// turn has come go first, then the tiers from the highest down.
+func (s *Scheduler) dispatch(now time.Time) {
+	if len(s.waiting) == 0 || now.Before(s.holdUntil) {
+		return
+	}
+	for s.hasRoom() && (s.grantFloor(now) || s.grantTier(now)) {
+	}
+}
+
+// hasRoom is a quick test that keeps a saturated pool cheap.
+func (s *Scheduler) hasRoom() bool {
+	for _, b := range s.backends {
+		bound := b.limit + max(1, b.limit*topAllowance)
+		if b.live && b.health != down && float64(b.inFlight) < bound {
+			return true
+		}
+	}
+	return false
+}
+
+// grantFloor serves a seated request whose floor has earned its work, or that
+// has waited too long.
+func (s *Scheduler) grantFloor(now time.Time) bool {
+	for t := plan.LowestTier; t > plan.HighestTier; t-- {
+		q := s.tiers[t]
+		if q.seat == nil || !q.turn(now) {
+			continue
+		}
+		if s.grant(now, q, q.seat, true) {
+			return true
+		}
+	}
+	return false
+}
+
+// turn says whether the tier's floor has to be served now.
+func (q *tierQueue) turn(now time.Time) bool {
+	return q.credit >= q.seat.work || now.Sub(q.seat.seated) >= seatPatience
+}
+
+func (s *Scheduler) grantTier(now time.Time) bool {
+	for _, q := range s.tiers[1:] {
+		if q.seat != nil && s.grant(now, q, q.seat, false) {
+			return true
+		}
+		for lane := range laneCount {
+			it := s.vetted(now, q, lane)
+			if it != nil && s.grant(now, q, it, false) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// vetted returns the head of a lane after moving requests that became suspects
+// while they waited, and refusing those that became quarantined.
+func (s *Scheduler) vetted(now time.Time, q *tierQueue, lane laneID) *item {
+	for {
+		it := q.next(now, lane)
+		if it == nil || lane == suspected && s.suspects.Quarantined(now, it.ask.Content) == 0 {
+			return it
+		}
+		if left := s.suspects.Quarantined(now, it.ask.Content); left > 0 {
+			q.remove(it)
+			s.refuseItem(it, Quarantined, left)
+			continue
+		}
+		if !s.suspects.IsSuspect(now, it.ask.Content) {
+			return it
+		}
+		q.remove(it)
+		it.lane = suspected
+		q.add(it)
+	}
+}
+
+// grant places a request if an upstream has room for it.
+func (s *Scheduler) grant(now time.Time, q *tierQueue, it *item, floor bool) bool {
+	if q.seat == it && !s.admitSeat(now, q) {
+		return true
+	}
+	b := s.choose(now, it, floor || q.tier == plan.HighestTier)
+	if b == nil {
+		return false
+	}
+	if q.seat == it {
+		q.charge(it)
+		q.seat = nil
+	} else {
+		q.remove(it)
+		q.charge(it)
+	}
+	s.earn(q, it.work)
+	s.fillSeat(now, q)
+	s.place(now, it, b)
+	s.out = append(s.out, Command{Kind: Grant, ID: it.ask.ID, Upstream: b.id})
+	delete(s.waiting, it.ask.ID)
+	s.recycle(it)
+	return true
+}
+
+// admitSeat checks the seated request against the suspects. It returns false
+// where the request was refused, so that the seat has changed.
+func (s *Scheduler) admitSeat(now time.Time, q *tierQueue) bool {
+	it := q.seat
+	if left := s.suspects.Quarantined(now, it.ask.Content); left > 0 {
+		q.seat = nil
+		s.fillSeat(now, q)
+		s.refuseItem(it, Quarantined, left)
+		return false
+	}
+	if s.suspects.IsSuspect(now, it.ask.Content) {
+		it.lane = suspected
+	}
+	return true
+}
+
+// earn credits the floors of all other tiers that have a seat waiting.
+func (s *Scheduler) earn(served *tierQueue, work Work) {
+	for t := plan.HighestTier + 1; t <= plan.LowestTier; t++ {
+		q := s.tiers[t]
+		if q != served && q.seat != nil {
+			q.credit += Work(s.floors[t]) * work
+		}
+	}
+}
+
+// choose returns the upstream for a request, or nil where none has room. A
+// request with a prefix goes to the upstream that the prefix prefers among
+// those whose load is near the mean; any other goes to the least loaded.
+func (s *Scheduler) choose(now time.Time, it *item, top bool) *backend {
+	allowed := s.allowed(it.ask.Content)
+	bound := s.loadBound()
+	lastResort := !s.anyHealthy()
+	var best, near *backend
+	var bestLoad float64
+	var nearScore uint64
+	for _, b := range s.backends {
+		if allowed != nil && !slices.Contains(allowed, b) {
+			continue
+		}
+		if !b.room(now, it, top) && !(lastResort && b.live && b.health == probation && b.inFlight == 0) {
+			continue
+		}
+		if b.id == it.ask.Avoid && len(s.backends) > 1 {
+			continue
+		}
+		if load := b.load(); best == nil || load < bestLoad {
+			best, bestLoad = b, load
+		}
+		if it.ask.Prefix == 0 || float64(b.inFlight+1) > bound {
+			continue
+		}
+		if score := b.score(it.ask.Prefix); near == nil || score > nearScore {
+			near, nearScore = b, score
+		}
+	}
+	if near != nil {
+		return near
+	}
+	return best
+}
+
+func (s *Scheduler) anyHealthy() bool {
+	for _, b := range s.backends {
+		if b.live && b.health == healthy {
+			return true
+		}
+	}
+	return false
+}
+
+// loadBound returns the number of runs up to which an upstream may be
+// preferred for a prefix.
+func (s *Scheduler) loadBound() float64 {
+	sum, n := 0, 0
+	for _, b := range s.backends {
+		if b.live && b.health != down {
+			sum += b.inFlight
+			n++
+		}
+	}
+	return spread*float64(sum+1)/float64(max(1, n)) + 1
+}
+
+// allowed limits a content that never finished to few upstreams at once, so
+// that a request that crashes its upstream can't take many down before the
+// first crash is known. It returns nil where any upstream will do.
+func (s *Scheduler) allowed(content ContentHash) []*backend {
+	if content == 0 {
+		return nil
+	}
+	held := s.unvetted[content]
+	distinct := 0
+	for i, b := range held {
+		if !slices.Contains(held[:i], b) {
+			distinct++
+		}
+	}
+	if distinct < vetRuns || s.suspects.IsVetted(content) {
+		return nil
+	}
+	return held
+}
+
+// place books a request on an upstream.
+func (s *Scheduler) place(now time.Time, it *item, b *backend) {
+	b.inFlight++
+	b.work += it.work
+	switch it.lane {
+	case bulky:
+		b.reading++
+	case suspected:
+		b.suspects++
+	}
+	if it.ask.Content != 0 && !s.suspects.IsVetted(it.ask.Content) {
+		s.unvetted[it.ask.Content] = append(s.unvetted[it.ask.Content], b)
+	}
+	s.runs[it.ask.ID] = &run{ask: it.ask, backend: b, work: it.work, lane: it.lane, granted: now}
+}
--- /dev/null
+++ b/pool/scheduler.go
@@ -0,0 +1,519 @@
+// Package pool decides which request runs where and when. A Scheduler is the
+// decision core of one pool: it is told events and returns commands. It holds
+// no clock, no goroutine and does no I/O; the present time is an argument.
+//
+// The order is strict by tier, fair between the accounts of a tier, and by
+// earliest deadline inside an account. Every tier below the highest has a
+// floor: one seat outside the queue, which earns credit while others are
+// served. docs/SCHEDULING.md gives the rule and the argument.
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"mulberrydyke/plan"
+)
+
+const (
+	// queueSeconds bounds the queue: the work that the pool does in this time.
+	queueSeconds = 4.0
+	// firstRate is the assumed work per second of one slot before any run ended.
+	firstRate = 30.0
+	// promptWork is the work of reading one token of a prompt.
+	promptWork = 0.02
+	// bulkyPrompt is the length above which a prompt is huge.
+	bulkyPrompt Tokens = 6000
+	// seatPatience is how long a seated request waits for credit at the most.
+	seatPatience = 2 * time.Second
+	// spread bounds the load that prefix placement may put on one upstream, as
+	// a multiple of the pool's mean.
+	spread = 1.25
+	// vetRuns is on how many upstreams a content may run at once before it
+	// finished for the first time.
+	vetRuns = 2
+	// confirmGrace is how old a grant must be to be missed.
+	confirmGrace = 2 * time.Second
+	// holdBack is how long a new scheduler waits for news of running requests.
+	holdBack = 250 * time.Millisecond
+)
+
+// run is a granted request.
+type run struct {
+	ask     Ask
+	backend *backend
+	work    Work
+	lane    laneID
+	started bool
+	granted time.Time
+}
+
+// Scheduler is the decision core of one pool.
+type Scheduler struct {
+	tiers    [plan.LowestTier + 1]*tierQueue
+	floors   [plan.LowestTier + 1]float64
+	backends []*backend
+	byID     map[plan.UpstreamID]*backend
+	waiting  map[RequestID]*item
+	runs     map[RequestID]*run
+	// unvetted gives, for contents that never finished, where they run now.
+	unvetted   map[ContentHash][]*backend
+	suspects   *Suspects
+	predictor  predictor
+	quarantine time.Duration
+	// holdUntil is set while a new scheduler doesn't know yet what runs.
+	holdUntil time.Time
+	// rate is the measured work per second of one busy slot.
+	rate   float64
+	serial uint64
+	free   []*item
+	out    []Command
+	times  []time.Duration
+}
+
+// NewScheduler returns a scheduler without upstreams. With takeover it grants
+// nothing until Restored events came from the other hosts or a short time has
+// passed. Suspects may be shared by the schedulers of one goroutine.
+func NewScheduler(now time.Time, takeover bool, suspects *Suspects) *Scheduler {
+	s := &Scheduler{
+		byID:       map[plan.UpstreamID]*backend{},
+		waiting:    map[RequestID]*item{},
+		runs:       map[RequestID]*run{},
+		unvetted:   map[ContentHash][]*backend{},
+		suspects:   suspects,
+		predictor:  predictor{seen: map[lengthKey]*lengths{}},
+		quarantine: plan.DefaultQuarantine,
+		rate:       firstRate,
+	}
+	for t := plan.HighestTier; t <= plan.LowestTier; t++ {
+		s.tiers[t] = newTierQueue(t)
+	}
+	if takeover {
+		s.holdUntil = now.Add(holdBack)
+	}
+	return s
+}
+
+// Update takes an event in and returns what follows from it. The returned
+// slice is valid until the next call.
+func (s *Scheduler) Update(now time.Time, e Event) []Command {
+	s.out = s.out[:0]
+	switch e := e.(type) {
+	case *Asked:
+		s.asked(now, &e.Ask)
+	case *Withdrawn:
+		s.withdrawn(now, e.ID)
+	case *Started:
+		s.started(now, e)
+	case *Ended:
+		s.ended(now, e)
+	case *Reported:
+		s.reported(now, e)
+	case *Changed:
+		s.changed(now, e)
+	case *Restored:
+		s.restored(now, e.Runs)
+	case *Accused:
+		s.suspects.Merge(now, e.Suspects, s.quarantine)
+	case *HostGone:
+		s.hostGone(now, e)
+	case *Confirmed:
+		s.confirmed(e)
+	case *Ticked:
+		s.ticked(now)
+	}
+	s.dispatch(now)
+	return s.out
+}
+
+func (s *Scheduler) asked(now time.Time, ask *Ask) {
+	if s.waiting[ask.ID] != nil {
+		return
+	}
+	if left := s.suspects.Quarantined(now, ask.Content); left > 0 {
+		s.refuse(ask.ID, Quarantined, left)
+		return
+	}
+	if !s.anyLive() {
+		s.refuse(ask.ID, NoUpstream, time.Second)
+		return
+	}
+	it := s.newItem(now, ask)
+	s.waiting[ask.ID] = it
+	q := s.tiers[ask.Tier]
+	q.add(it)
+	s.fillSeat(now, q)
+	s.shed()
+}
+
+func (s *Scheduler) newItem(now time.Time, ask *Ask) *item {
+	var it *item
+	if n := len(s.free); n > 0 {
+		it, s.free = s.free[n-1], s.free[:n-1]
+	} else {
+		it = &item{}
+	}
+	s.serial++
+	*it = item{
+		ask:      *ask,
+		lane:     ordinary,
+		work:     s.workOf(ask),
+		deadline: ask.Arrived.Add(ask.Target.FirstToken.Std()),
+		serial:   s.serial,
+	}
+	switch {
+	case s.suspects.IsSuspect(now, ask.Content):
+		it.lane = suspected
+	case ask.Prompt > bulkyPrompt:
+		it.lane = bulky
+	}
+	return it
+}
+
+func (s *Scheduler) workOf(ask *Ask) Work {
+	return Work(float64(s.predictor.estimate(ask)) + promptWork*float64(ask.Prompt))
+}
+
+// fillSeat moves the request that goes next in a tier to its free seat. The
+// highest tier needs none, since nothing goes before it.
+func (s *Scheduler) fillSeat(now time.Time, q *tierQueue) {
+	if q.tier == plan.HighestTier || q.seat != nil || q.count == 0 {
+		return
+	}
+	it := q.first(now)
+	q.remove(it)
+	it.seated = now
+	q.seat, q.credit = it, 0
+}
+
+// shed refuses queued requests until the queue is within its bound: always of
+// the lowest tier that has any.
+func (s *Scheduler) shed() {
+	bound := s.queueBound()
+	for s.queuedWork() > bound {
+		q := s.lowestQueued()
+		if q == nil || s.onlyOne(q) {
+			return
+		}
+		it := q.victim()
+		q.remove(it)
+		s.refuseItem(it, QueueFull, s.waitFor(q.tier))
+	}
+}
+
+// onlyOne says whether a single request is queued: it may exceed the bound.
+func (s *Scheduler) onlyOne(lowest *tierQueue) bool {
+	if lowest.count != 1 {
+		return false
+	}
+	for _, q := range s.tiers[1:] {
+		if q != lowest && q.count > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Scheduler) queuedWork() Work {
+	var sum Work
+	for _, q := range s.tiers[1:] {
+		sum += q.queued
+	}
+	return sum
+}
+
+func (s *Scheduler) queueBound() Work {
+	slots := 0.0
+	for _, b := range s.backends {
+		if b.live {
+			slots += b.limit
+		}
+	}
+	return Work(queueSeconds * s.rate * slots)
+}
+
+// waitFor estimates how long a new request of the tier would wait.
+func (s *Scheduler) waitFor(t plan.Tier) time.Duration {
+	var ahead Work
+	for _, q := range s.tiers[1 : t+1] {
+		ahead += q.queued
+	}
+	perSecond := max(1, float64(s.queueBound())/queueSeconds)
+	wait := time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	return min(max(wait, time.Second), time.Minute)
+}
+
+func (s *Scheduler) lowestQueued() *tierQueue {
+	for t := plan.LowestTier; t >= plan.HighestTier; t-- {
+		if s.tiers[t].count > 0 {
+			return s.tiers[t]
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) refuse(id RequestID, reason Reason, after time.Duration) {
+	s.out = append(s.out, Command{Kind: Refuse, ID: id, Reason: reason, RetryAfter: after})
+}
+
+// refuseItem refuses a request that was taken out of the queue.
+func (s *Scheduler) refuseItem(it *item, reason Reason, after time.Duration) {
+	delete(s.waiting, it.ask.ID)
+	s.refuse(it.ask.ID, reason, after)
+	s.recycle(it)
+}
+
+func (s *Scheduler) recycle(it *item) {
+	*it = item{}
+	s.free = append(s.free, it)
+}
+
+// takeOut removes a waiting request from its seat or its queue.
+func (s *Scheduler) takeOut(now time.Time, it *item) {
+	q := s.tiers[it.ask.Tier]
+	if q.seat == it {
+		q.seat = nil
+		s.fillSeat(now, q)
+		return
+	}
+	q.remove(it)
+}
+
+func (s *Scheduler) withdrawn(now time.Time, id RequestID) {
+	if it := s.waiting[id]; it != nil {
+		s.takeOut(now, it)
+		delete(s.waiting, id)
+		s.recycle(it)
+	}
+}
+
+func (s *Scheduler) started(now time.Time, e *Started) {
+	r := s.runs[e.ID]
+	if r == nil || r.started {
+		return
+	}
+	r.started = true
+	if r.lane == bulky {
+		r.backend.reading--
+		return
+	}
+	r.backend.started(now, e.Latency, r.ask.Target)
+}
+
+func (s *Scheduler) ended(now time.Time, e *Ended) {
+	r := s.runs[e.ID]
+	if r == nil {
+		return
+	}
+	s.release(e.ID, r)
+	b := r.backend
+	switch e.Outcome {
+	case Done:
+		s.finished(now, r, e)
+	case Crashed:
+		b.takeDown(now)
+		s.suspects.Accuse(now, r.ask.Content, Crash{Upstream: b.id, Instance: e.Instance}, s.quarantine)
+	case Silent:
+		b.takeDown(now)
+	case Refused:
+		if b.refusals++; b.refusals >= refusalLimit {
+			b.takeDown(now)
+		}
+	}
+}
+
+func (s *Scheduler) finished(now time.Time, r *run, e *Ended) {
+	s.predictor.add(&r.ask, e.Output)
+	s.suspects.Clear(r.ask.Content)
+	if span := now.Sub(r.granted).Seconds(); span > 0 && e.Output > 0 {
+		rate := (float64(e.Output) + promptWork*float64(r.ask.Prompt)) / span
+		s.rate += 0.05 * (rate - s.rate)
+	}
+	b := r.backend
+	b.ended(now, e.Between, r.ask.Target)
+	if b.health == probation {
+		s.judgeProbe(now, b, e.Between)
+	}
+}
+
+// judgeProbe takes an upstream back, unless it is still a straggler.
+func (s *Scheduler) judgeProbe(now time.Time, b *backend, between time.Duration) {
+	median := s.median()
+	if b.straggler && median > 0 && float64(between) > recoveredFactor*float64(median) {
+		b.takeDown(now)
+		return
+	}
+	b.restore()
+}
+
+func (s *Scheduler) median() time.Duration {
+	if cap(s.times) < len(s.backends) {
+		s.times = make([]time.Duration, 0, len(s.backends))
+	}
+	return medianBetween(s.backends, s.times)
+}
+
+// release takes a run off its upstream's books.
+func (s *Scheduler) release(id RequestID, r *run) {
+	b := r.backend
+	b.inFlight--
+	b.work -= r.work
+	if r.lane == suspected {
+		b.suspects--
+	}
+	if r.lane == bulky && !r.started {
+		b.reading--
+	}
+	s.leaveUnvetted(r)
+	delete(s.runs, id)
+}
+
+func (s *Scheduler) leaveUnvetted(r *run) {
+	held := s.unvetted[r.ask.Content]
+	i := slices.Index(held, r.backend)
+	if i < 0 {
+		return
+	}
+	held = slices.Delete(held, i, i+1)
+	if len(held) == 0 {
+		delete(s.unvetted, r.ask.Content)
+		return
+	}
+	s.unvetted[r.ask.Content] = held
+}
+
+func (s *Scheduler) reported(now time.Time, e *Reported) {
+	b := s.byID[e.Upstream]
+	taken := now.Add(-e.Age)
+	if b == nil || taken.Before(b.memoryAt) {
+		return
+	}
+	b.memory, b.memoryAt = e.Memory, taken
+}
+
+func (s *Scheduler) changed(now time.Time, e *Changed) {
+	s.floors = e.Floors
+	s.quarantine = e.Quarantine
+	listed := make(map[plan.UpstreamID]bool, len(e.Upstreams))
+	for _, u := range e.Upstreams {
+		listed[u.ID] = true
+		b := s.byID[u.ID]
+		if b == nil {
+			b = newBackend(u, e.Part)
+			s.byID[u.ID] = b
+			s.backends = append(s.backends, b)
+		}
+		b.size(u, e.Part)
+	}
+	s.backends = slices.DeleteFunc(s.backends, func(b *backend) bool {
+		if listed[b.id] {
+			return false
+		}
+		b.live = false
+		delete(s.byID, b.id)
+		return true
+	})
+	if !s.anyLive() {
+		s.refuseAll(now)
+	}
+}
+
+func (s *Scheduler) anyLive() bool {
+	return slices.ContainsFunc(s.backends, func(b *backend) bool { return b.live })
+}
+
+func (s *Scheduler) refuseAll(now time.Time) {
+	for _, it := range s.waiting {
+		s.takeOut(now, it)
+		s.refuseItem(it, NoUpstream, time.Second)
+	}
+}
+
+func (s *Scheduler) restored(now time.Time, runs []Run) {
+	for _, r := range runs {
+		b := s.byID[r.Upstream]
+		if b == nil || s.runs[r.Ask.ID] != nil {
+			continue
+		}
+		it := s.newItem(now, &r.Ask)
+		s.place(now, it, b)
+		s.runs[r.Ask.ID].started = r.Started
+		if r.Started && it.lane == bulky {
+			b.reading--
+		}
+		s.recycle(it)
+	}
+}
+
+// Settled ends the hold-back of a new scheduler: every other host has told it
+// what runs.
+func (s *Scheduler) Settled() { s.holdUntil = time.Time{} }
+
+func (s *Scheduler) hostGone(now time.Time, e *HostGone) {
+	for id, it := range s.waiting {
+		if id.Host == e.Host && id.Incarnation == e.Incarnation {
+			s.takeOut(now, it)
+			delete(s.waiting, id)
+			s.recycle(it)
+		}
+	}
+	for id, r := range s.runs {
+		if id.Host == e.Host && id.Incarnation == e.Incarnation {
+			s.release(id, r)
+		}
+	}
+}
+
+// confirmed releases grants that their host does not hold any more: the report
+// of their end was lost.
+func (s *Scheduler) confirmed(e *Confirmed) {
+	held := make(map[uint64]bool, len(e.Held))
+	for _, n := range e.Held {
+		held[n] = true
+	}
+	for id, r := range s.runs {
+		mine := id.Host == e.Host && id.Incarnation == e.Incarnation
+		if mine && !held[id.Sequence] && e.Asked.Sub(r.granted) > confirmGrace {
+			s.release(id, r)
+		}
+	}
+}
+
+func (s *Scheduler) ticked(now time.Time) {
+	s.suspects.Expire(now)
+	for _, q := range s.tiers[1:] {
+		q.prune()
+	}
+	for _, b := range s.backends {
+		if b.health == down && !now.Before(b.downUntil) {
+			b.health = probation
+		}
+	}
+	s.ejectStragglers(now)
+}
+
+// ejectStragglers takes upstreams out that are much slower than the median, up
+// to a bounded part of the pool.
+func (s *Scheduler) ejectStragglers(now time.Time) {
+	median := s.median()
+	if median == 0 {
+		return
+	}
+	out := 0
+	for _, b := range s.backends {
+		if b.health != healthy {
+			out++
+		}
+	}
+	for _, b := range s.backends {
+		if float64(out+1) > max(1, ejectedPart*float64(len(s.backends))) {
+			return
+		}
+		slow := b.samples >= stragglerSamples && float64(b.between) > stragglerFactor*float64(median)
+		if b.health == healthy && slow {
+			b.straggler = true
+			b.takeDown(now)
+			out++
+		}
+	}
+}
--- /dev/null
+++ b/pool/upstream.go
@@ -0,0 +1,219 @@
+package pool
+
+import (
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mulberrydyke/plan"
+)
+
+const (
+	// limitLeast and limitMost bound an upstream's adaptive limit as parts of
+	// its slots.
+	limitLeast = 0.25
+	limitMost  = 2.0
+	// topAllowance is the part of the limit that the highest tier and floors
+	// may go above it.
+	topAllowance = 0.25
+	// firstTokenPart is the part of the first-token target that an upstream
+	// may use up; the rest is for the queue.
+	firstTokenPart = 0.5
+	limitBackoff   = 0.92
+	// backoffPause is the least time between two cuts of one limit.
+	backoffPause = 250 * time.Millisecond
+	// smoothing is the weight of a new sample in a moving mean.
+	smoothing = 0.2
+	// memoryFull is the used part of KV memory above which an upstream gets
+	// no new work.
+	memoryFull = 0.97
+	// reportLife is how long a load report counts.
+	reportLife = 5 * time.Second
+
+	stragglerFactor  = 2.0
+	recoveredFactor  = 1.5
+	stragglerSamples = 8
+	// ejectedPart is the largest part of a pool that may be out as stragglers.
+	ejectedPart = 0.25
+	downFirst   = time.Second
+	downMost    = 30 * time.Second
+	// refusalLimit is the number of refusals in a row that take an upstream out.
+	refusalLimit = 3
+)
+
+// health says what work an upstream may get.
+type health int
+
+const (
+	// healthy upstreams get any work.
+	healthy health = iota
+	// down upstreams get none until a given time.
+	down
+	// probation upstreams get one idempotent request at a time.
+	probation
+)
+
+// backend is what a scheduler knows of one upstream.
+type backend struct {
+	id   plan.UpstreamID
+	hash uint64
+	// live is false while the upstream leaves: it gets no new work.
+	live  bool
+	slots float64
+	// limit is the adaptive bound of concurrent runs. It lies between
+	// limitLeast and limitMost times slots.
+	limit    float64
+	cutAt    time.Time
+	inFlight int
+	work     Work
+	// reading counts runs with a huge prompt and no token yet.
+	reading  int
+	suspects int
+
+	health    health
+	downUntil time.Time
+	downFor   time.Duration
+	straggler bool
+	refusals  int
+
+	between  time.Duration
+	samples  int
+	memory   float64
+	memoryAt time.Time
+}
+
+func newBackend(u plan.Upstream, part float64) *backend {
+	b := &backend{id: u.ID, hash: xxhash.Sum64String(string(u.ID))}
+	b.size(u, part)
+	b.limit = b.slots
+	return b
+}
+
+// size adopts what the lists say of the upstream. An engine's slots are split
+// between its models, because each has a pool and a scheduler of its own.
+func (b *backend) size(u plan.Upstream, part float64) {
+	b.live = u.State == plan.Live
+	b.slots = max(1, float64(u.Slots)*part/float64(max(1, len(u.Models))))
+	b.limit = min(max(b.limit, b.least()), b.slots*limitMost)
+}
+
+func (b *backend) least() float64 { return max(1, b.slots*limitLeast) }
+
+// room says whether the upstream may take a request now. Requests of the
+// highest tier and floors may go above the limit.
+func (b *backend) room(now time.Time, it *item, top bool) bool {
+	if !b.live || b.memory > memoryFull && now.Sub(b.memoryAt) < reportLife {
+		return false
+	}
+	switch b.health {
+	case down:
+		return false
+	case probation:
+		return b.inFlight == 0 && it.ask.Idempotent
+	}
+	bound := b.limit
+	if top {
+		bound += max(1, b.limit*topAllowance)
+	}
+	if float64(b.inFlight) >= bound {
+		return false
+	}
+	return b.fits(it)
+}
+
+func (b *backend) fits(it *item) bool {
+	switch it.lane {
+	case bulky:
+		return b.reading == 0
+	case suspected:
+		return b.suspects == 0
+	}
+	return true
+}
+
+// started adapts the limit to the time of a first token.
+func (b *backend) started(now time.Time, latency time.Duration, target plan.Target) {
+	bound := time.Duration(firstTokenPart * float64(target.FirstToken.Std()))
+	if bound > 0 && latency > bound {
+		b.cut(now)
+	}
+}
+
+// ended adapts the limit and the speed to a whole answer.
+func (b *backend) ended(now time.Time, between time.Duration, target plan.Target) {
+	b.refusals = 0
+	if between <= 0 {
+		return
+	}
+	if b.samples == 0 {
+		b.between = between
+	}
+	b.samples++
+	b.between += time.Duration(smoothing * float64(between-b.between))
+	if target.BetweenTokens > 0 && between > target.BetweenTokens.Std() {
+		b.cut(now)
+		return
+	}
+	if float64(b.inFlight) >= b.limit-1 {
+		b.limit = min(b.limit+1/b.limit, b.slots*limitMost)
+	}
+}
+
+func (b *backend) cut(now time.Time) {
+	if now.Sub(b.cutAt) < backoffPause {
+		return
+	}
+	b.cutAt = now
+	b.limit = max(b.least(), b.limit*limitBackoff)
+}
+
+// takeDown keeps new work away for a span that doubles at each failure.
+func (b *backend) takeDown(now time.Time) {
+	if b.health == down {
+		return
+	}
+	b.downFor = min(max(downFirst, 2*b.downFor), downMost)
+	b.health, b.downUntil = down, now.Add(b.downFor)
+}
+
+// restore ends probation.
+func (b *backend) restore() {
+	b.health, b.downFor, b.refusals, b.straggler = healthy, 0, 0, false
+	b.samples = 0
+}
+
+// score ranks upstreams for a prefix: the same prefix prefers the same
+// upstream as long as it stays in the pool.
+func (b *backend) score(p PrefixHash) uint64 {
+	var raw [16]byte
+	binary.LittleEndian.PutUint64(raw[:8], uint64(p))
+	binary.LittleEndian.PutUint64(raw[8:], b.hash)
+	return xxhash.Sum64(raw[:])
+}
+
+// load is the expected wait on the upstream, relative to the others.
+func (b *backend) load() float64 {
+	speed := 1.0
+	if b.samples > 0 {
+		speed = b.between.Seconds()
+	}
+	return (float64(b.inFlight) + 1) * speed / b.limit
+}
+
+// medianBetween returns the pool's median gap between tokens, or zero where
+// fewer than three upstreams have been measured.
+func medianBetween(backends []*backend, scratch []time.Duration) time.Duration {
+	scratch = scratch[:0]
+	for _, b := range backends {
+		if b.samples >= stragglerSamples && b.live {
+			scratch = append(scratch, b.between)
+		}
+	}
+	if len(scratch) < 3 {
+		return 0
+	}
+	slices.Sort(scratch)
+	return scratch[(len(scratch)-1)/2]
+}
--- /dev/null
+++ b/relay/use.go
@@ -0,0 +1,290 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"mulberrydyke/job"
+	"mulberrydyke/member"
+	"mulberrydyke/peer"
+	"mulberrydyke/plan"
+	"mulberrydyke/refusal"
+	"mulberrydyke/ticket"
+)
+
+const (
+	useTime = 3 * time.Second
+	// readWait is how long a home holds a read back for more bytes.
+	readWait = time.Second
+	readTime = 3 * time.Second
+	// partBytes bounds one part of an answer.
+	partBytes = 256 << 10
+	// reachTries is how often a home is tried before its backup is asked.
+	reachTries = 3
+	reachPause = 300 * time.Millisecond
+)
+
+// Use runs a job under a ticket, or takes up what the ticket already did, and
+// writes the whole answer to out. It fails with a refusal whose outcome is
+// true.
+func (d *Desk) Use(ctx context.Context, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+	name, err := ticket.Parse(t)
+	if err != nil {
+		return refusal.New(refusal.TicketInvalid, err.Error())
+	}
+	if name.Home == formerOf(d.fleet.Self()) {
+		record, err := d.begin(t, j, arrived)
+		if err != nil {
+			return refusal.Of(err)
+		}
+		return d.copyLocal(ctx, record, j, out)
+	}
+	return d.useRemote(ctx, name, t, j, arrived, out)
+}
+
+// copyLocal copies the answer of a ticket of this home.
+func (d *Desk) copyLocal(ctx context.Context, record *ticket.Record, j *job.Job, out job.Output) error {
+	read := func(offset int) (ticket.Part, error) {
+		part := record.Answer.Read(ctx, offset, partBytes)
+		if part.Done {
+			return part, d.ending(record.Token, j)
+		}
+		return part, ctx.Err()
+	}
+	return copyParts(read, out)
+}
+
+// ending says how a ticket of this home ended.
+func (d *Desk) ending(t ticket.Token, j *job.Job) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, _, err := d.home.Use(time.Now(), t, j.Account, j.Hash())
+	if err != nil {
+		return refusal.Of(err)
+	}
+	return nil
+}
+
+// copyParts copies parts until the last one. An error of the last part is
+// returned after its bytes were written.
+func copyParts(read func(offset int) (ticket.Part, error), out job.Output) error {
+	offset, began := 0, false
+	for {
+		part, err := read(offset)
+		if len(part.Bytes) > 0 && !began {
+			out.Begin(part.Head)
+			began = true
+		}
+		if len(part.Bytes) > 0 {
+			if _, err := out.Write(part.Bytes); err != nil {
+				return refusal.New(refusal.CallerGone, err.Error())
+			}
+		}
+		if err != nil {
+			return err
+		}
+		if part.Done {
+			if !began {
+				out.Begin(part.Head)
+			}
+			return nil
+		}
+		offset += len(part.Bytes)
+	}
+}
+
+// errGone says that a ticket's home is no more.
+var errGone = errors.New("the home of the ticket is gone")
+
+// useRemote brings a ticket to its home, to who inherited from it, or asks its
+// backup what became of it.
+func (d *Desk) useRemote(ctx context.Context, name ticket.Name, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+	counted := &countedOutput{Output: out}
+	if host, ok := d.fleet.Find(name.Home.Host); ok {
+		err := d.useAt(ctx, host.Self, t, j, arrived, counted)
+		if !errors.Is(err, errGone) {
+			return err
+		}
+	}
+	if heir, ok := d.fleet.Successor(name.Home); ok && !counted.began {
+		err := d.useHeir(ctx, heir, t, j, arrived, counted)
+		if !errors.Is(err, errGone) {
+			return err
+		}
+	}
+	outcome := d.attest(ctx, name, t)
+	if outcome == ticket.NotRun && !counted.began {
+		return refusal.New(refusal.TicketVoid, "the home of the ticket can't be reached; its backup has closed the ticket")
+	}
+	return refusal.New(refusal.HomeGone, "the home of the ticket can't be reached")
+}
+
+// countedOutput remembers whether anything has reached the caller.
+type countedOutput struct {
+	job.Output
+	began bool
+}
+
+// Begin starts the answer.
+func (c *countedOutput) Begin(h ticket.Head) {
+	c.began = true
+	c.Output.Begin(h)
+}
+
+// useAt uses a ticket at another host. It fails with errGone where that host
+// can't be reached or is not the ticket's home any more.
+func (d *Desk) useAt(ctx context.Context, host member.Self, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+	args := &peer.TicketUseArgs{Ticket: t, Job: *j, Age: time.Since(arrived)}
+	var reply peer.TicketReply
+	if err := d.reach(ctx, host, "TicketUse", args, &reply); err != nil {
+		return err
+	}
+	if err := fromPeer(reply.Refusal); err != nil {
+		if err.Code == refusal.HomeGone {
+			return errGone
+		}
+		return err
+	}
+	read := func(offset int) (ticket.Part, error) {
+		args := &peer.TicketReadArgs{Ticket: t, Account: j.Account, Hash: j.Hash(), Offset: offset}
+		var reply peer.TicketReadReply
+		if err := d.reach(ctx, host, "TicketRead", args, &reply); err != nil {
+			return ticket.Part{}, err
+		}
+		if err := fromPeer(reply.Refusal); err != nil {
+			if err.Code == refusal.HomeGone {
+				return reply.Part, errGone
+			}
+			return reply.Part, err
+		}
+		return reply.Part, nil
+	}
+	return copyParts(read, out)
+}
+
+// useHeir asks who inherited from a ticket's home.
+func (d *Desk) useHeir(ctx context.Context, heir plan.HostID, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+	if heir == d.fleet.Self().ID {
+		return d.useEstate(t, j, out)
+	}
+	host, ok := d.fleet.Find(heir)
+	if !ok {
+		return errGone
+	}
+	return d.useAt(ctx, host.Self, t, j, arrived, out)
+}
+
+// useEstate answers a ticket from an estate that this host holds.
+func (d *Desk) useEstate(t ticket.Token, j *job.Job, out job.Output) error {
+	d.mu.Lock()
+	settled, err := d.heir.Use(t, j.Account, j.Hash())
+	d.mu.Unlock()
+	if err != nil {
+		e := refusal.Of(err)
+		if e.Code == refusal.HomeGone {
+			return errGone
+		}
+		return e
+	}
+	out.Begin(settled.Answer.Head)
+	if _, err := out.Write(settled.Answer.Bytes); err != nil {
+		return refusal.New(refusal.CallerGone, err.Error())
+	}
+	return nil
+}
+
+// reach calls a host and tries again over a new connection where the link
+// broke. What it calls may be repeated.
+func (d *Desk) reach(ctx context.Context, host member.Self, method string, args, reply any) error {
+	for range reachTries {
+		call, cancel := context.WithTimeout(ctx, max(useTime, readTime))
+		err := d.fleet.Call(call, host, method, args, reply)
+		cancel()
+		var refused *peer.RefusedError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &refused):
+			return refusal.New(refusal.BadRequest, refused.Reason)
+		case ctx.Err() != nil:
+			return refusal.New(refusal.CallerGone, ctx.Err().Error())
+		}
+		pause(ctx, reachPause)
+	}
+	return errGone
+}
+
+// attest asks a ticket's backup, or who inherited from it, what became of the
+// ticket.
+func (d *Desk) attest(ctx context.Context, name ticket.Name, t ticket.Token) ticket.Outcome {
+	if name.Backup.Host == "" {
+		return ticket.Unknown
+	}
+	if name.Backup.Host == d.fleet.Self().ID {
+		return d.attestHere(t)
+	}
+	if outcome := d.attestAt(ctx, name.Backup.Host, t); outcome == ticket.NotRun {
+		return outcome
+	}
+	if heir, ok := d.fleet.Successor(name.Backup); ok {
+		if heir == d.fleet.Self().ID {
+			return d.attestHere(t)
+		}
+		return d.attestAt(ctx, heir, t)
+	}
+	return ticket.Unknown
+}
+
+func (d *Desk) attestAt(ctx context.Context, id plan.HostID, t ticket.Token) ticket.Outcome {
+	host, ok := d.fleet.Find(id)
+	if !ok {
+		return ticket.Unknown
+	}
+	var reply peer.AttestReply
+	if err := d.reach(ctx, host.Self, "Attest", &peer.TicketArgs{Ticket: t}, &reply); err != nil {
+		return ticket.Unknown
+	}
+	return reply.Outcome
+}
+
+// attestHere answers as backup, or as heir of a backup that left.
+func (d *Desk) attestHere(t ticket.Token) ticket.Outcome {
+	name, err := ticket.Parse(t)
+	if err != nil {
+		return ticket.Unknown
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if name.Backup == formerOf(d.fleet.Self()) {
+		return d.backup.Attest(time.Now(), t)
+	}
+	return d.heir.Attest(t)
+}
+
+func fromPeer(r peer.Refusal) *refusal.Error {
+	if r.Code == "" {
+		return nil
+	}
+	return &refusal.Error{Code: refusal.Code(r.Code), Outcome: r.Outcome, Message: r.Message, RetryAfter: r.RetryAfter}
+}
+
+func toPeer(err error) peer.Refusal {
+	if err == nil {
+		return peer.Refusal{}
+	}
+	if errors.Is(err, errGone) {
+		err = refusal.New(refusal.HomeGone, err.Error())
+	}
+	e := refusal.Of(err)
+	return peer.Refusal{Code: string(e.Code), Outcome: e.Outcome, Message: e.Message, RetryAfter: e.RetryAfter}
+}
+
+func pause(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/setting/setting.go
@@ -0,0 +1,211 @@
+// Package setting reads and checks the settings of one process: JSON with
+// comments, whose fields are in kebab case.
+package setting
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/tailscale/hujson"
+
+	"mulberrydyke/plan"
+)
+
+// Host is the settings of one entry host.
+type Host struct {
+	// ID is the host's name in the platform's list.
+	ID plan.HostID `json:"id"`
+	// Domain is the host's failure domain.
+	Domain plan.DomainID `json:"domain"`
+	// Region is the host's region.
+	Region plan.RegionID `json:"region"`
+	// Listen gives the host's own addresses.
+	Listen Listen `json:"listen"`
+	// Platform gives the addresses of the configuration service, tried in order.
+	Platform []string `json:"platform"`
+	// Peers are addresses of other hosts' peer listeners, asked at the start
+	// while the platform gives no list of hosts.
+	Peers []string `json:"peers,omitempty"`
+	// PeerKey authenticates hosts to each other. At least 16 bytes.
+	PeerKey string `json:"peer-key"`
+	// TLS names the certificate for callers and operators. Without it both
+	// listeners speak plain HTTP.
+	TLS *TLS `json:"tls,omitempty"`
+	// Bounds limits what requests may cost.
+	Bounds Bounds `json:"bounds"`
+}
+
+// Listen gives addresses as IP numbers with ports.
+type Listen struct {
+	Callers   string `json:"callers"`
+	Operators string `json:"operators"`
+	Peers     string `json:"peers"`
+}
+
+// TLS names files in PEM form.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+}
+
+// Bounds limits what one request or one stop may cost.
+type Bounds struct {
+	// BodyBytes is the largest request body. Default 8 MiB, at most 12 MiB.
+	BodyBytes int64 `json:"body-bytes"`
+	// AnswerBytes is the largest answer. Default 8 MiB, at most 12 MiB.
+	AnswerBytes int64 `json:"answer-bytes"`
+	// BodyTime is how long a caller may take to send a body. Default 30s.
+	BodyTime plan.Duration `json:"body-time"`
+	// Silence is the longest gap without progress on an upstream's stream.
+	// Default 10s.
+	Silence plan.Duration `json:"silence"`
+	// StopTime is how long a planned stop waits for requests in progress.
+	// Default 10m. It must lie below the platform's own kill bound.
+	StopTime plan.Duration `json:"stop-time"`
+	// TicketLife is how long a ticket may be used. Default 10m.
+	TicketLife plan.Duration `json:"ticket-life"`
+	// TicketBytes bounds the memory of kept answers. Default 32 MiB.
+	TicketBytes int64 `json:"ticket-bytes"`
+	// RetryPart is the part of fresh requests that retries may add. Default 0.1.
+	RetryPart float64 `json:"retry-part"`
+	// Connections is the most that callers may hold open. Default 4096.
+	Connections int `json:"connections"`
+}
+
+// DefaultBounds returns the bounds that apply where settings give none.
+func DefaultBounds() Bounds {
+	return Bounds{
+		BodyBytes:   8 << 20,
+		AnswerBytes: 8 << 20,
+		BodyTime:    plan.Duration(30 * time.Second),
+		Silence:     plan.Duration(10 * time.Second),
+		StopTime:    plan.Duration(10 * time.Minute),
+		TicketLife:  plan.Duration(10 * time.Minute),
+		TicketBytes: 32 << 20,
+		RetryPart:   0.1,
+		Connections: 4096,
+	}
+}
+
+// Error reports settings that are not valid.
+type Error struct {
+	File  string
+	Line  int
+	Field string
+	// Valid says what is wrong or what would be accepted.
+	Valid string
+}
+
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Valid)
+}
+
+// Load reads and checks a settings file. It fails with an Error.
+func Load(file string) (Host, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return Host{}, &Error{File: file, Line: 1, Field: "file", Valid: err.Error()}
+	}
+	return Parse(file, raw)
+}
+
+// Parse reads and checks settings. The name file stands in errors.
+func Parse(file string, raw []byte) (Host, error) {
+	plain, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return Host{}, &Error{File: file, Line: 1, Field: "syntax", Valid: err.Error()}
+	}
+	h := Host{Bounds: DefaultBounds()}
+	d := json.NewDecoder(bytes.NewReader(plain))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&h); err != nil {
+		return Host{}, decodeError(file, plain, d.InputOffset(), err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return Host{}, &Error{File: file, Line: lineAt(plain, d.InputOffset()), Field: "syntax", Valid: "nothing may follow the settings"}
+	}
+	return h, h.check(file, plain)
+}
+
+func decodeError(file string, raw []byte, offset int64, err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return &Error{File: file, Line: lineAt(raw, wrongType.Offset), Field: wrongType.Field, Valid: "want " + wrongType.Type.String()}
+	}
+	field := "syntax"
+	if _, name, ok := strings.Cut(err.Error(), "unknown field "); ok {
+		field = strings.Trim(name, `"`)
+		return &Error{File: file, Line: lineOf(raw, field), Field: field, Valid: "no such field"}
+	}
+	return &Error{File: file, Line: lineAt(raw, offset), Field: field, Valid: err.Error()}
+}
+
+// fault is one rule that settings must meet.
+type fault struct {
+	ok    bool
+	field string
+	valid string
+}
+
+func (h *Host) check(file string, raw []byte) error {
+	const most = 12 << 20
+	b := h.Bounds
+	faults := []fault{
+		{h.ID != "", "id", "want the host's name"},
+		{h.Domain != "", "domain", "want a failure domain"},
+		{h.Region != "", "region", "want a region"},
+		{isAddress(h.Listen.Callers), "callers", "want an IP number with a port"},
+		{isAddress(h.Listen.Operators), "operators", "want an IP number with a port"},
+		{isAddress(h.Listen.Peers), "listen", "want an IP number with a port for peers"},
+		{len(h.Platform) > 0, "platform", "want at least one address"},
+		{areAddresses(h.Platform), "platform", "want IP numbers with ports"},
+		{areAddresses(h.Peers), "peers", "want IP numbers with ports"},
+		{len(h.PeerKey) >= 16, "peer-key", "want at least 16 bytes"},
+		{h.TLS == nil || (h.TLS.Certificate != "" && h.TLS.Key != ""), "tls", "want a certificate and a key"},
+		{b.BodyBytes > 0 && b.BodyBytes <= most, "body-bytes", "want 1 to 12582912"},
+		{b.AnswerBytes > 0 && b.AnswerBytes <= most, "answer-bytes", "want 1 to 12582912"},
+		{b.BodyTime > 0, "body-time", "want a span above 0"},
+		{b.Silence > 0, "silence", "want a span above 0"},
+		{b.StopTime > 0, "stop-time", "want a span above 0"},
+		{b.TicketLife > 0, "ticket-life", "want a span above 0"},
+		{b.TicketBytes > 0, "ticket-bytes", "want a number above 0"},
+		{b.RetryPart >= 0 && b.RetryPart <= 1, "retry-part", "want 0 to 1"},
+		{b.Connections > 0, "connections", "want a number above 0"},
+	}
+	for _, f := range faults {
+		if !f.ok {
+			return &Error{File: file, Line: lineOf(raw, f.field), Field: f.field, Valid: f.valid}
+		}
+	}
+	return nil
+}
+
+func isAddress(text string) bool {
+	a, err := netip.ParseAddrPort(text)
+	return err == nil && a.IsValid()
+}
+
+func areAddresses(texts []string) bool {
+	for _, t := range texts {
+		if !isAddress(t) {
+			return false
+		}
+	}
+	return true
+}
+
+func lineOf(raw []byte, field string) int {
+	return lineAt(raw, int64(bytes.Index(raw, []byte(`"`+field+`"`))))
+}
+
+func lineAt(raw []byte, offset int64) int {
+	end := min(max(offset, 0), int64(len(raw)))
+	return 1 + bytes.Count(raw[:end], []byte("\n"))
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,108 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/web"
+)
+
+// ServiceFaults are the faults that a stand-in service can show.
+type ServiceFaults struct {
+	// Delay is how long each call takes.
+	Delay plan.Duration `json:"delay"`
+	// Refuse answers with status 503 before running.
+	Refuse bool `json:"refuse"`
+	// CutAfterRun runs the call and then breaks the connection.
+	CutAfterRun bool `json:"cut-after-run"`
+}
+
+// Service is a stand-in of a plain service, such as a label printer.
+type Service struct {
+	name   string
+	ledger *Ledger
+	mu     sync.Mutex
+	faults ServiceFaults
+}
+
+// NewService returns a service with the given name in its ledger.
+func NewService(name string) *Service { return &Service{name: name, ledger: &Ledger{}} }
+
+// Ledger returns the service's ledger.
+func (s *Service) Ledger() *Ledger { return s.ledger }
+
+// SetFaults switches faults.
+func (s *Service) SetFaults(f ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+func (s *Service) present() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Serve listens on address and returns the address and a clean-up function.
+func (s *Service) Serve(address string) (string, func(), error) {
+	handler, err := web.Handler([]rest.Route{
+		{Method: http.MethodGet, Path: "/ledger", Handler: s.getLedger},
+		{Method: http.MethodPut, Path: "/faults", Handler: s.putFaults},
+	}, s.call)
+	if err != nil {
+		return "", nil, err
+	}
+	server, err := web.Listen(address, handler, connections, nil)
+	if err != nil {
+		return "", nil, err
+	}
+	return server.Address(), server.Close, nil
+}
+
+// call runs any method on any path and answers with what it got.
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	faults := s.present()
+	if faults.Refuse {
+		http.Error(w, "refused before running", http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	entry := s.ledger.Begin(Entry{
+		Upstream: s.name, Request: id, Ticket: r.Header.Get("X-Ticket"),
+		Begun: time.Now(), Mark: MarkOf(string(body)),
+	})
+	time.Sleep(faults.Delay.Std())
+	s.ledger.update(entry, func(e *Entry) { e.Whole = true })
+	if faults.CutAfterRun {
+		abort()
+	}
+	w.Header().Set("X-Request-Id", id)
+	web.WriteJSON(w, http.StatusOK, map[string]string{
+		"method": r.Method, "path": r.URL.Path, "mark": MarkOf(string(body)), "by": s.name,
+	})
+}
+
+func (s *Service) getLedger(w http.ResponseWriter, _ *http.Request) {
+	web.WriteJSON(w, http.StatusOK, s.ledger.Entries())
+}
+
+func (s *Service) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f ServiceFaults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
