--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -13,30 +13,53 @@
 	if len(s.waiting) == 0 || now.Before(s.holdUntil) {
 		return
 	}
-	for s.hasRoom() && (s.grantFloor(now) || s.grantTier(now)) {
+	for {
+		v := s.survey()
+		if !v.top || !s.grantFloor(now, v) && !s.grantTier(now, v) {
+			return
+		}
 	}
 }
 
-// hasRoom is a quick test that keeps a saturated pool cheap.
-func (s *Scheduler) hasRoom() bool {
+// view sums up a pool's upstreams for one round of dispatch.
+type view struct {
+	// top says that there may be room for the highest tier and for floors,
+	// ordinary that there may be room for any request.
+	top, ordinary bool
+	// healthy says that some upstream is neither down nor on probation.
+	healthy bool
+	// bound is the number of runs up to which an upstream may be preferred
+	// for a prefix.
+	bound float64
+}
+
+// survey looks at every upstream once.
+func (s *Scheduler) survey() view {
+	var v view
+	sum, n := 0, 0
 	for _, b := range s.backends {
-		bound := b.limit + max(1, b.limit*topAllowance)
-		if b.live && b.health != down && float64(b.inFlight) < bound {
-			return true
+		if !b.live || b.health == down {
+			continue
 		}
+		sum += b.inFlight
+		n++
+		v.healthy = v.healthy || b.health == healthy
+		v.ordinary = v.ordinary || float64(b.inFlight) < b.limit
+		v.top = v.top || float64(b.inFlight) < b.limit+b.allowance()
 	}
-	return false
+	v.bound = spread*float64(sum+1)/float64(max(1, n)) + 1
+	return v
 }
 
 // grantFloor serves a seated request whose floor has earned its work, or that
 // has waited too long.
-func (s *Scheduler) grantFloor(now time.Time) bool {
+func (s *Scheduler) grantFloor(now time.Time, v view) bool {
 	for t := plan.LowestTier; t > plan.HighestTier; t-- {
 		q := s.tiers[t]
 		if q.seat == nil || !q.turn(now) {
 			continue
 		}
-		if s.grant(now, q, q.seat, true) {
+		if s.grant(now, v, q, q.seat, true) {
 			return true
 		}
 	}
@@ -48,14 +71,17 @@
 	return q.credit >= q.seat.work || now.Sub(q.seat.seated) >= seatPatience
 }
 
-func (s *Scheduler) grantTier(now time.Time) bool {
+func (s *Scheduler) grantTier(now time.Time, v view) bool {
 	for _, q := range s.tiers[1:] {
-		if q.seat != nil && s.grant(now, q, q.seat, false) {
+		if !v.ordinary && q.tier != plan.HighestTier {
+			return false
+		}
+		if q.seat != nil && s.grant(now, v, q, q.seat, false) {
 			return true
 		}
 		for lane := range laneCount {
 			it := s.vetted(now, q, lane)
-			if it != nil && s.grant(now, q, it, false) {
+			if it != nil && s.grant(now, v, q, it, false) {
 				return true
 			}
 		}
@@ -63,34 +89,35 @@
 	return false
 }
 
-// vetted returns the head of a lane after moving requests that became suspects
-// while they waited, and refusing those that became quarantined.
+// vetted returns the head of a lane after moving requests that became
+// restricted while they waited, and refusing those that became quarantined.
 func (s *Scheduler) vetted(now time.Time, q *tierQueue, lane laneID) *item {
 	for {
 		it := q.next(now, lane)
-		if it == nil || lane == suspected && s.suspects.Quarantined(now, it.ask.Content) == 0 {
-			return it
+		if it == nil {
+			return nil
 		}
 		if left := s.suspects.Quarantined(now, it.ask.Content); left > 0 {
 			q.remove(it)
 			s.refuseItem(it, Quarantined, left)
 			continue
 		}
-		if !s.suspects.IsSuspect(now, it.ask.Content) {
+		it.suspect = s.suspects.IsSuspect(now, it.ask.Content)
+		if lane == restricted || !it.suspect && s.allowed(it.ask.Content) == nil {
 			return it
 		}
 		q.remove(it)
-		it.lane = suspected
+		it.lane = restricted
 		q.add(it)
 	}
 }
 
 // grant places a request if an upstream has room for it.
-func (s *Scheduler) grant(now time.Time, q *tierQueue, it *item, floor bool) bool {
+func (s *Scheduler) grant(now time.Time, v view, q *tierQueue, it *item, floor bool) bool {
 	if q.seat == it && !s.admitSeat(now, q) {
 		return true
 	}
-	b := s.choose(now, it, floor || q.tier == plan.HighestTier)
+	b := s.choose(now, v, it, floor || q.tier == plan.HighestTier)
 	if b == nil {
 		return false
 	}
@@ -120,9 +147,7 @@
 		s.refuseItem(it, Quarantined, left)
 		return false
 	}
-	if s.suspects.IsSuspect(now, it.ask.Content) {
-		it.lane = suspected
-	}
+	it.suspect = s.suspects.IsSuspect(now, it.ask.Content)
 	return true
 }
 
@@ -139,10 +164,8 @@
 // choose returns the upstream for a request, or nil where none has room. A
 // request with a prefix goes to the upstream that the prefix prefers among
 // those whose load is near the mean; any other goes to the least loaded.
-func (s *Scheduler) choose(now time.Time, it *item, top bool) *backend {
+func (s *Scheduler) choose(now time.Time, v view, it *item, top bool) *backend {
 	allowed := s.allowed(it.ask.Content)
-	bound := s.loadBound()
-	lastResort := !s.anyHealthy()
 	var best, near *backend
 	var bestLoad float64
 	var nearScore uint64
@@ -150,7 +173,7 @@
 		if allowed != nil && !slices.Contains(allowed, b) {
 			continue
 		}
-		if !b.room(now, it, top) && !(lastResort && b.live && b.health == probation && b.inFlight == 0) {
+		if !b.room(now, it, top) && (v.healthy || !b.lastResort()) {
 			continue
 		}
 		if b.id == it.ask.Avoid && len(s.backends) > 1 {
@@ -159,7 +182,7 @@
 		if load := b.load(); best == nil || load < bestLoad {
 			best, bestLoad = b, load
 		}
-		if it.ask.Prefix == 0 || float64(b.inFlight+1) > bound {
+		if it.ask.Prefix == 0 || float64(b.inFlight+1) > v.bound {
 			continue
 		}
 		if score := b.score(it.ask.Prefix); near == nil || score > nearScore {
@@ -172,28 +195,6 @@
 	return best
 }
 
-func (s *Scheduler) anyHealthy() bool {
-	for _, b := range s.backends {
-		if b.live && b.health == healthy {
-			return true
-		}
-	}
-	return false
-}
-
-// loadBound returns the number of runs up to which an upstream may be
-// preferred for a prefix.
-func (s *Scheduler) loadBound() float64 {
-	sum, n := 0, 0
-	for _, b := range s.backends {
-		if b.live && b.health != down {
-			sum += b.inFlight
-			n++
-		}
-	}
-	return spread*float64(sum+1)/float64(max(1, n)) + 1
-}
-
 // allowed limits a content that never finished to few upstreams at once, so
 // that a request that crashes its upstream can't take many down before the
 // first crash is known. It returns nil where any upstream will do.
@@ -218,14 +219,26 @@
 func (s *Scheduler) place(now time.Time, it *item, b *backend) {
 	b.inFlight++
 	b.work += it.work
-	switch it.lane {
-	case bulky:
+	if it.huge {
 		b.reading++
-	case suspected:
+	}
+	if it.suspect {
 		b.suspects++
 	}
 	if it.ask.Content != 0 && !s.suspects.IsVetted(it.ask.Content) {
 		s.unvetted[it.ask.Content] = append(s.unvetted[it.ask.Content], b)
 	}
-	s.runs[it.ask.ID] = &run{ask: it.ask, backend: b, work: it.work, lane: it.lane, granted: now}
+	r := s.newRun()
+	*r = run{ask: it.ask, backend: b, work: it.work, huge: it.huge, suspect: it.suspect, granted: now}
+	s.runs[it.ask.ID] = r
+}
+
+func (s *Scheduler) newRun() *run {
+	n := len(s.freeRuns)
+	if n == 0 {
+		return &run{}
+	}
+	r := s.freeRuns[n-1]
+	s.freeRuns = s.freeRuns[:n-1]
+	return r
 }
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -17,9 +17,9 @@
 	// bulky requests have a huge prompt and need an upstream that is reading
 	// no other huge prompt.
 	bulky
-	// suspected requests were running on an upstream that crashed and need
-	// one that runs no other suspect.
-	suspected
+	// restricted requests may not run on every upstream: they were running on
+	// one that crashed, or have a content that never finished and runs now.
+	restricted
 	laneCount
 )
 
@@ -32,6 +32,10 @@
 	ask  Ask
 	lane laneID
 	work Work
+	// huge says that the prompt is above bulkyPrompt.
+	huge bool
+	// suspect says that the content has a crash to its name.
+	suspect bool
 	// deadline is when the first token is due.
 	deadline time.Time
 	// serial orders items by arrival at the scheduler.
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -43,7 +43,8 @@
 	ask     Ask
 	backend *backend
 	work    Work
-	lane    laneID
+	huge    bool
+	suspect bool
 	started bool
 	granted time.Time
 }
@@ -67,8 +68,11 @@
 	rate   float64
 	serial uint64
 	free   []*item
-	out    []Command
-	times  []time.Duration
+	// freeRuns are run records for use again. A record is only put here once
+	// its end has been handled.
+	freeRuns []*run
+	out      []Command
+	times    []time.Duration
 }
 
 // NewScheduler returns a scheduler without upstreams. With takeover it grants
@@ -123,6 +127,7 @@
 		s.ticked(now)
 	}
 	s.dispatch(now)
+	s.shed()
 	return s.out
 }
 
@@ -143,7 +148,6 @@
 	q := s.tiers[ask.Tier]
 	q.add(it)
 	s.fillSeat(now, q)
-	s.shed()
 }
 
 func (s *Scheduler) newItem(now time.Time, ask *Ask) *item {
@@ -161,10 +165,12 @@
 		deadline: ask.Arrived.Add(ask.Target.FirstToken.Std()),
 		serial:   s.serial,
 	}
+	it.huge = ask.Prompt > bulkyPrompt
+	it.suspect = s.suspects.IsSuspect(now, ask.Content)
 	switch {
-	case s.suspects.IsSuspect(now, ask.Content):
-		it.lane = suspected
-	case ask.Prompt > bulkyPrompt:
+	case it.suspect:
+		it.lane = restricted
+	case it.huge:
 		it.lane = bulky
 	}
 	return it
@@ -293,7 +299,7 @@
 		return
 	}
 	r.started = true
-	if r.lane == bulky {
+	if r.huge {
 		r.backend.reading--
 		return
 	}
@@ -306,6 +312,7 @@
 		return
 	}
 	s.release(e.ID, r)
+	defer s.reuse(r)
 	b := r.backend
 	switch e.Outcome {
 	case Done:
@@ -353,15 +360,20 @@
 	return medianBetween(s.backends, s.times)
 }
 
+func (s *Scheduler) reuse(r *run) {
+	*r = run{}
+	s.freeRuns = append(s.freeRuns, r)
+}
+
 // release takes a run off its upstream's books.
 func (s *Scheduler) release(id RequestID, r *run) {
 	b := r.backend
 	b.inFlight--
 	b.work -= r.work
-	if r.lane == suspected {
+	if r.suspect {
 		b.suspects--
 	}
-	if r.lane == bulky && !r.started {
+	if r.huge && !r.started {
 		b.reading--
 	}
 	s.leaveUnvetted(r)
@@ -405,17 +417,26 @@
 		}
 		b.size(u, e.Part)
 	}
+	for _, b := range s.backends {
+		b.live = b.live && listed[b.id]
+		b.listed = listed[b.id]
+	}
+	s.dropUnlisted()
+	if !s.anyLive() {
+		s.refuseAll(now)
+	}
+}
+
+// dropUnlisted forgets upstreams that are not listed any more, once their last
+// run has ended. One that comes back meanwhile keeps its books.
+func (s *Scheduler) dropUnlisted() {
 	s.backends = slices.DeleteFunc(s.backends, func(b *backend) bool {
-		if listed[b.id] {
+		if b.listed || b.inFlight > 0 {
 			return false
 		}
-		b.live = false
 		delete(s.byID, b.id)
 		return true
 	})
-	if !s.anyLive() {
-		s.refuseAll(now)
-	}
 }
 
 func (s *Scheduler) anyLive() bool {
@@ -438,7 +459,7 @@
 		it := s.newItem(now, &r.Ask)
 		s.place(now, it, b)
 		s.runs[r.Ask.ID].started = r.Started
-		if r.Started && it.lane == bulky {
+		if r.Started && it.huge {
 			b.reading--
 		}
 		s.recycle(it)
@@ -481,6 +502,7 @@
 
 func (s *Scheduler) ticked(now time.Time) {
 	s.suspects.Expire(now)
+	s.dropUnlisted()
 	for _, q := range s.tiers[1:] {
 		q.prune()
 	}
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -60,8 +60,10 @@
 	id   plan.UpstreamID
 	hash uint64
 	// live is false while the upstream leaves: it gets no new work.
-	live  bool
-	slots float64
+	live bool
+	// listed is false once the upstream is in no list any more.
+	listed bool
+	slots  float64
 	// limit is the adaptive bound of concurrent runs. It lies between
 	// limitLeast and limitMost times slots.
 	limit    float64
@@ -99,6 +101,13 @@
 	b.limit = min(max(b.limit, b.least()), b.slots*limitMost)
 }
 
+// allowance is how far the highest tier and floors may go above the limit.
+func (b *backend) allowance() float64 { return max(1, b.limit*topAllowance) }
+
+// lastResort says whether the upstream may be tried with any request where no
+// upstream of the pool is healthy.
+func (b *backend) lastResort() bool { return b.live && b.health == probation && b.inFlight == 0 }
+
 func (b *backend) least() float64 { return max(1, b.slots*limitLeast) }
 
 // room says whether the upstream may take a request now. Requests of the
@@ -115,7 +124,7 @@
 	}
 	bound := b.limit
 	if top {
-		bound += max(1, b.limit*topAllowance)
+		bound += b.allowance()
 	}
 	if float64(b.inFlight) >= bound {
 		return false
@@ -124,13 +133,7 @@
 }
 
 func (b *backend) fits(it *item) bool {
-	switch it.lane {
-	case bulky:
-		return b.reading == 0
-	case suspected:
-		return b.suspects == 0
-	}
-	return true
+	return (!it.huge || b.reading == 0) && (!it.suspect || b.suspects == 0)
 }
 
 // started adapts the limit to the time of a first token.
