--- a/relay/peer.go
+++ b/relay/peer.go
@@ -116,9 +116,9 @@
 		d.backup.Seal()
 		estate := d.backup.HandOver()
 		if d.home.Busy() == 0 {
-			estate.Records = d.home.HandOver()
+			own := d.home.HandOver()
+			estate.Records, estate.Spent, estate.Last = own.Records, own.Spent, true
 		}
-		estate.Last = d.home.Busy() == 0
 		estates = append(d.heir.HandOver(), estate)
 	})
 	self := d.fleet.Self()
@@ -175,6 +175,6 @@
 		out = append(out, ticket.Estate{Of: e.Of, Intents: e.Intents[:tickets]})
 		e.Intents = e.Intents[tickets:]
 	}
-	part.Intents, part.Forgotten, part.Last = e.Intents, e.Forgotten, e.Last
+	part.Intents, part.Forgotten, part.Spent, part.Last = e.Intents, e.Forgotten, e.Spent, e.Last
 	return append(out, part)
 }
--- a/ticket/estate.go
+++ b/ticket/estate.go
@@ -13,6 +13,8 @@
 	Of member.Former
 	// Records are the tickets that the host was home to and that were used.
 	Records []Settled
+	// Spent is Home's own mark of the used tickets that it forgot.
+	Spent Sequence
 	// Intents are the tickets that the host was backup to and acknowledged.
 	Intents []Token
 	// Forgotten is Backup's own record of what it forgot.
@@ -32,6 +34,7 @@
 
 type inherited struct {
 	records map[Token]Settled
+	spent   Sequence
 	intents map[Token]bool
 	// forgotten gives the highest sequence of each home up to which the
 	// backup that left may have forgotten intents.
@@ -65,6 +68,7 @@
 	for home, last := range e.Forgotten {
 		in.forgotten[home] = last
 	}
+	in.spent = max(in.spent, e.Spent)
 	in.complete = in.complete || e.Last
 	return true
 }
@@ -82,6 +86,8 @@
 	}
 	r, ok := in.records[t]
 	switch {
+	case !ok && n.Sequence <= in.spent:
+		return Settled{}, &RefusedError{Reason: Expired, Outcome: Unknown}
 	case !ok:
 		return Settled{}, &RefusedError{Reason: Voided, Outcome: NotRun}
 	case r.Account != account, r.Hash != hash:
@@ -121,7 +127,7 @@
 func (h *Heir) HandOver() []Estate {
 	var out []Estate
 	for of, in := range h.estates {
-		e := Estate{Of: of, Forgotten: in.forgotten, Last: in.complete}
+		e := Estate{Of: of, Spent: in.spent, Forgotten: in.forgotten, Last: in.complete}
 		for _, r := range in.records {
 			e.Records = append(e.Records, r)
 		}
--- a/ticket/home.go
+++ b/ticket/home.go
@@ -102,7 +102,10 @@
 	next    Sequence
 	issued  []mint
 	records map[Token]*Record
-	sealed  bool
+	// spent is the highest sequence among the used tickets that were
+	// forgotten. Nothing can be said of unknown tickets up to it.
+	spent  Sequence
+	sealed bool
 }
 
 // mint remembers when tickets were issued: every ticket from sequence on, up
@@ -235,7 +238,7 @@
 	for t, r := range h.records {
 		settled := r.phase == finished || r.phase == voided
 		if settled && now.Sub(r.issued) >= 2*h.life {
-			delete(h.records, t)
+			h.forget(t)
 			continue
 		}
 		held += r.Answer.Size()
@@ -254,6 +257,13 @@
 	}
 }
 
+func (h *Home) forget(t Token) {
+	delete(h.records, t)
+	if n, err := Parse(t); err == nil {
+		h.spent = max(h.spent, n.Sequence)
+	}
+}
+
 func (h *Home) oldestAnswer() *Record {
 	var oldest *Record
 	for _, r := range h.records {
@@ -296,10 +306,10 @@
 
 // HandOver returns what a successor needs. It must only be called on a sealed
 // home that is not busy.
-func (h *Home) HandOver() []Settled {
-	out := make([]Settled, 0, len(h.records))
+func (h *Home) HandOver() Estate {
+	out := Estate{Of: h.self, Spent: h.spent}
 	for _, r := range h.records {
-		out = append(out, Settled{
+		out.Records = append(out.Records, Settled{
 			Token: r.Token, Account: r.Account, Hash: r.Hash,
 			Outcome: r.Outcome, Reason: r.Reason, Answer: r.Answer.Keep(),
 		})
