--- /dev/null
+++ b/fault/proxy.go
@@ -0,0 +1,189 @@
+// Package fault brings faults about between processes: a TCP proxy whose links
+// can be cut, silenced and slowed down while traffic passes.
+package fault
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode says what a proxy does with traffic.
+type Mode int
+
+// Modes of a proxy.
+const (
+	// Pass lets everything through.
+	Pass Mode = iota
+	// Cut closes all connections and refuses new ones.
+	Cut
+	// Silent keeps all connections open and lets nothing through. New ones
+	// are accepted and stay silent too.
+	Silent
+	// SilentOld keeps connections silent that were open when the mode was
+	// set; new ones work.
+	SilentOld
+	// OneWay lets traffic through towards the target only.
+	OneWay
+)
+
+const (
+	copyBytes = 32 << 10
+	// silentPoll is how often a silent connection looks whether it may go on.
+	silentPoll = 20 * time.Millisecond
+)
+
+// Proxy passes TCP connections on to one target.
+type Proxy struct {
+	target   string
+	listener net.Listener
+
+	mu    sync.Mutex
+	mode  Mode
+	epoch int
+	delay time.Duration
+	conns map[net.Conn]bool
+	shut  bool
+}
+
+// NewProxy listens on loopback and returns the proxy and its clean-up function.
+func NewProxy(target string) (*Proxy, func(), error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, nil, err
+	}
+	p := &Proxy{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	go p.accept()
+	return p, p.close, nil
+}
+
+// Address returns the address to connect to.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	p.epoch++
+	if m == Cut {
+		p.closeAll()
+	}
+}
+
+// SetDelay delays every piece of traffic, each way.
+func (p *Proxy) SetDelay(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = d
+}
+
+// Reset closes all connections; new ones work.
+func (p *Proxy) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeAll()
+}
+
+func (p *Proxy) closeAll() {
+	for c := range p.conns {
+		_ = c.Close()
+	}
+	p.conns = map[net.Conn]bool{}
+}
+
+func (p *Proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shut = true
+	p.closeAll()
+}
+
+func (p *Proxy) accept() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.connect(conn)
+	}
+}
+
+func (p *Proxy) connect(from net.Conn) {
+	to, err := net.Dial("tcp", p.target)
+	if err != nil {
+		_ = from.Close()
+		return
+	}
+	epoch, ok := p.add(from, to)
+	if !ok {
+		_ = from.Close()
+		_ = to.Close()
+		return
+	}
+	go p.copy(to, from, epoch, true)
+	go p.copy(from, to, epoch, false)
+}
+
+func (p *Proxy) add(conns ...net.Conn) (epoch int, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.shut || p.mode == Cut {
+		return 0, false
+	}
+	for _, c := range conns {
+		p.conns[c] = true
+	}
+	return p.epoch, true
+}
+
+// copy passes one direction on until either end closes.
+func (p *Proxy) copy(to, from net.Conn, epoch int, forth bool) {
+	defer p.drop(to, from)
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !p.await(epoch, forth) {
+			return
+		}
+		if _, werr := to.Write(buffer[:n]); werr != nil {
+			return
+		}
+		if err != nil {
+			if err == io.EOF {
+				p.await(epoch, forth)
+			}
+			return
+		}
+	}
+}
+
+// await holds traffic back while the mode says so. It returns false once the
+// proxy is closed.
+func (p *Proxy) await(epoch int, forth bool) bool {
+	for {
+		p.mu.Lock()
+		shut, delay := p.shut || p.mode == Cut, p.delay
+		silent := p.mode == Silent || p.mode == SilentOld && epoch < p.epoch || p.mode == OneWay && !forth
+		p.mu.Unlock()
+		if shut {
+			return false
+		}
+		if !silent {
+			time.Sleep(delay)
+			return true
+		}
+		time.Sleep(silentPoll)
+	}
+}
+
+func (p *Proxy) drop(conns ...net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+		delete(p.conns, c)
+	}
+}
--- a/host/duties.go
+++ b/host/duties.go
@@ -261,6 +261,17 @@
 	}
 }
 
+// accused takes in what another host knows of crashes, and passes on what is
+// new, so that the news reaches every failure domain.
+func (h *Host) accused(suspects []pool.Suspect) {
+	now := time.Now()
+	fresh := h.local.Accuse(now, suspects)
+	h.alone.Accuse(now, suspects)
+	if fresh {
+		h.sendBeats(context.Background(), suspects)
+	}
+}
+
 func (h *Host) spread(ctx context.Context, suspects []pool.Suspect) {
 	now := time.Now()
 	h.local.Accuse(now, suspects)
--- a/host/peers.go
+++ b/host/peers.go
@@ -41,9 +41,7 @@
 	h := p.host
 	h.heard(context.Background(), args.Beat, nil)
 	if len(args.Suspects) > 0 {
-		now := time.Now()
-		h.local.Accuse(now, args.Suspects)
-		h.alone.Accuse(now, args.Suspects)
+		h.accused(args.Suspects)
 	}
 	reply.Beat = h.fleet.beat(h.State().Versions())
 	if args.Beat.Self.Domain != h.settings.Domain {
--- a/load/fleet.go
+++ b/load/fleet.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -179,14 +181,28 @@
 	}
 }
 
-// FreeAddress returns an address on loopback that nobody listens on.
+// Ports that FreeAddress gives out. They lie below those that the system uses
+// for outgoing connections, so that none is taken before its owner listens.
+const (
+	portFirst = 12000
+	portCount = 18000
+)
+
+var nextPort atomic.Uint32
+
+// FreeAddress returns an address on loopback that nobody listens on. Each call
+// gives another one.
 func FreeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", eris.Wrap(err, "find a free port")
+	for range portCount {
+		port := portFirst + (uint32(os.Getpid())*64+nextPort.Add(1))%portCount
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", eris.New("no free port on loopback")
 }
 
 // Drive plays a profile's arrivals against all hosts and sums up what the
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -197,13 +197,14 @@
 
 // allowed limits a content that never finished to few upstreams at once, so
 // that a request that crashes its upstream can't take many down before the
-// first crash is known. It returns nil where any upstream will do.
+// first crash is known. Upstreams that it has crashed count, since those where
+// it runs may be about to. It returns nil where any upstream will do.
 func (s *Scheduler) allowed(content ContentHash) []*backend {
 	if content == 0 {
 		return nil
 	}
 	held := s.unvetted[content]
-	distinct := 0
+	distinct := s.suspects.Crashes(content)
 	for i, b := range held {
 		if !slices.Contains(held[:i], b) {
 			distinct++
@@ -212,9 +213,15 @@
 	if distinct < vetRuns || s.suspects.IsVetted(content) {
 		return nil
 	}
+	if held == nil {
+		return noBackends
+	}
 	return held
 }
 
+// noBackends allows no upstream.
+var noBackends = []*backend{}
+
 // place books a request on an upstream.
 func (s *Scheduler) place(now time.Time, it *item, b *backend) {
 	b.inFlight++
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -293,6 +293,27 @@
 	}
 }
 
+// TestCrashWhileAnotherRunIsOpen reports the first of two crashes while the
+// second upstream still runs the content. No third upstream may get it.
+func TestCrashWhileAnotherRunIsOpen(t *testing.T) {
+	s := newTestScheduler(5)
+	used := map[plan.UpstreamID]bool{}
+	send := func(i uint64) {
+		a := testAsk(i, 1, "a")
+		a.Content = 42
+		for _, c := range ask(s, start, a) {
+			used[c.Upstream] = true
+		}
+	}
+	send(1)
+	send(2)
+	end(s, start, testAsk(1, 1, "a").ID, Crashed)
+	send(3)
+	if len(used) > crashLimit {
+		t.Errorf("after one crash the content was sent to a third upstream: %v", used)
+	}
+}
+
 func TestNewSchedulerWaitsForNews(t *testing.T) {
 	s := NewScheduler(start, true, NewSuspects())
 	s.Update(start, &Changed{Upstreams: []plan.Upstream{testUpstream(0, plan.Live)}, Floors: testFloors(), Quarantine: time.Minute, Part: 1})
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -114,6 +114,14 @@
 	return entry != nil && now.Before(entry.until)
 }
 
+// Crashes returns how many upstreams crashed while content was running.
+func (s *Suspects) Crashes(content ContentHash) int {
+	if entry := s.byContent[content]; entry != nil {
+		return len(entry.crashes)
+	}
+	return 0
+}
+
 // IsVetted says whether content finished before.
 func (s *Suspects) IsVetted(content ContentHash) bool {
 	return s.vetted[content] || s.older[content]
