Prove lists, platform outages, cut domains, leaving upstreams and withdrawn plans

Cause: these promises had no test with processes. The first runs found four faults: a host that started from a stale platform served under old lists until its peers' versions arrived; a host whose way in was silent counted as live, since its own heartbeats got out; a withdrawn plan's queued requests still ran; a full engine was given more than its slots and its queue looked like silence. Change: a host asks its peers before and after the platform and refuses callers until then; only an answered heartbeat shows that a host is there; the lists in force are checked again at the grant; limits stay within the listed slots, of which an eighth is left to the highest tier while it sends. Ruled out: a fault of the product in the slow runs of the cut by silence; the proxy polled for each of its dead connections and starved the machine.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -44,6 +44,7 @@
 // Server serves callers.
 type Server struct {
 	state    func() *plan.State
+	started  func() bool
 	runner   *runner.Runner
 	desk     *relay.Desk
 	bounds   setting.Bounds
@@ -55,7 +56,10 @@
 
 // Options are a server's parts.
 type Options struct {
-	State   func() *plan.State
+	State func() *plan.State
+	// Started says whether the lists in force are the newest that could be
+	// found when the host started.
+	Started func() bool
 	Runner  *runner.Runner
 	Desk    *relay.Desk
 	Bounds  setting.Bounds
@@ -65,7 +69,10 @@
 
 // NewServer returns a server.
 func NewServer(o Options) *Server {
-	return &Server{state: o.State, runner: o.Runner, desk: o.Desk, bounds: o.Bounds, metrics: o.Metrics, trail: o.Trail}
+	return &Server{
+		state: o.State, started: o.Started, runner: o.Runner, desk: o.Desk,
+		bounds: o.Bounds, metrics: o.Metrics, trail: o.Trail,
+	}
 }
 
 // Running returns how many requests are in progress.
@@ -124,7 +131,7 @@
 		return refusal.New(refusal.Stopping, "the host is stopping").After(time.Second)
 	}
 	versions := c.state.Versions()
-	if versions.Plans == 0 || versions.Entitlements == 0 {
+	if !s.started() || versions.Plans == 0 || versions.Entitlements == 0 {
 		return refusal.New(refusal.NoLists, "no lists are in force yet").After(time.Second)
 	}
 	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), "Bearer ")
--- a/fault/fleet_test.go
+++ b/fault/fleet_test.go
@@ -243,6 +243,8 @@
 	h.log = &bytes.Buffer{}
 	h.command = exec.Command(binary, "serve", h.settings)
 	h.command.Stderr = h.log
+	// The host goes with the tests, also when those are killed.
+	h.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := h.command.Start(); err != nil {
 		f.t.Fatal(err)
 	}
--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -28,11 +28,7 @@
 	OneWay
 )
 
-const (
-	copyBytes = 32 << 10
-	// silentPoll is how often a silent connection looks whether it may go on.
-	silentPoll = 20 * time.Millisecond
-)
+const copyBytes = 32 << 10
 
 // Proxy passes TCP connections on to one target.
 type Proxy struct {
@@ -45,6 +41,8 @@
 	delay time.Duration
 	conns map[net.Conn]bool
 	shut  bool
+	// changed is closed and replaced at every change of mode.
+	changed chan struct{}
 }
 
 // NewProxy listens on loopback and returns the proxy and its clean-up function.
@@ -53,7 +51,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Proxy{target: target, listener: listener, conns: map[net.Conn]bool{}}
+	p := &Proxy{target: target, listener: listener, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
 	go p.accept()
 	return p, p.close, nil
 }
@@ -67,6 +65,7 @@
 	defer p.mu.Unlock()
 	p.mode = m
 	p.epoch++
+	p.wake()
 	if m == Cut {
 		p.closeAll()
 	}
@@ -86,6 +85,11 @@
 	p.closeAll()
 }
 
+func (p *Proxy) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
 func (p *Proxy) closeAll() {
 	for c := range p.conns {
 		_ = c.Close()
@@ -98,6 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.shut = true
+	p.wake()
 	p.closeAll()
 }
 
@@ -165,7 +170,7 @@
 func (p *Proxy) await(epoch int, forth bool) bool {
 	for {
 		p.mu.Lock()
-		shut, delay := p.shut || p.mode == Cut, p.delay
+		shut, delay, changed := p.shut || p.mode == Cut, p.delay, p.changed
 		silent := p.mode == Silent || p.mode == SilentOld && epoch < p.epoch || p.mode == OneWay && !forth
 		p.mu.Unlock()
 		if shut {
@@ -175,7 +180,7 @@
 			time.Sleep(delay)
 			return true
 		}
-		time.Sleep(silentPoll)
+		<-changed
 	}
 }
 
--- a/host/duties.go
+++ b/host/duties.go
@@ -31,13 +31,23 @@
 	h.duties.Go(func() { h.suspicions(ctx) })
 }
 
-// beats reads the lists once, then exchanges heartbeats and takes up or gives
-// up the roles that follow from who is there.
-func (h *Host) beats(ctx context.Context) {
+// askAll asks peers and platform for their lists before the host serves
+// anybody, so that a stale platform can't make it serve under old ones. Peers
+// are asked again once the platform has told who they are.
+func (h *Host) askAll(ctx context.Context) {
+	h.beatAll(ctx)
+	h.lists.fetchNewest(ctx)
 	start, cancel := context.WithTimeout(ctx, startTime)
 	h.lists.readOnce(start)
-	h.beatAll(start)
 	cancel()
+	h.beatAll(ctx)
+	h.lists.fetchNewest(ctx)
+}
+
+// beats reads the lists once, then exchanges heartbeats and takes up or gives
+// up the roles that follow from who is there.
+func (h *Host) beats(ctx context.Context) {
+	h.askAll(ctx)
 	h.lists.started.Store(true)
 	for ctx.Err() == nil {
 		h.takeRoles(ctx)
@@ -116,13 +126,14 @@
 		h.fleet.client.Drop(address)
 	}
 	if err == nil {
-		h.heard(ctx, reply.Beat, reply.Absent)
+		h.heard(ctx, reply.Beat, reply.Absent, true)
 	}
 }
 
-// heard takes in another host's heartbeat.
-func (h *Host) heard(ctx context.Context, b member.Beat, absent []plan.HostID) {
-	gone, restarted := h.fleet.seen(time.Now(), b, absent)
+// heard takes in another host's heartbeat, as an answer to one sent from here
+// or not.
+func (h *Host) heard(ctx context.Context, b member.Beat, absent []plan.HostID, answer bool) {
+	gone, restarted := h.fleet.seen(time.Now(), b, absent, answer)
 	if restarted {
 		h.hostGone(gone)
 	}
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -90,11 +90,11 @@
 }
 
 // seen takes in another host's heartbeat.
-func (f *fleet) seen(now time.Time, b member.Beat, absent []plan.HostID) (member.Former, bool) {
+func (f *fleet) seen(now time.Time, b member.Beat, absent []plan.HostID, answer bool) (member.Former, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.table.Missing(now, absent)
-	return f.table.Seen(now, b)
+	return f.table.Seen(now, b, answer)
 }
 
 func (f *fleet) absent(now time.Time) []plan.HostID {
--- a/host/host.go
+++ b/host/host.go
@@ -174,7 +174,7 @@
 	h.desk = desk
 	h.cleanups = append(h.cleanups, cleanup)
 	h.entry = entry.NewServer(entry.Options{
-		State: h.State, Runner: run, Desk: desk, Bounds: bounds, Metrics: h.metrics, Trail: h.trail,
+		State: h.State, Started: h.lists.started.Load, Runner: run, Desk: desk, Bounds: bounds, Metrics: h.metrics, Trail: h.trail,
 	})
 	return nil
 }
--- a/host/lists.go
+++ b/host/lists.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// fetchNewest fetches the highest version of each list that any peer showed,
+// and waits for it.
+func (l *lists) fetchNewest(ctx context.Context) {
+	for _, kind := range plan.Kinds() {
+		best := l.host.State().Versions().Of(kind)
+		var from member.Self
+		for _, host := range l.host.fleet.hosts() {
+			if v := host.Versions.Of(kind); v > best {
+				best, from = v, host.Self
+			}
+		}
+		if from.ID != "" {
+			l.fetch(ctx, from, kind)
+		}
+	}
+}
+
 func (l *lists) beginFetch(kind plan.Kind) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/host/peers.go
+++ b/host/peers.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	h := p.host
-	h.heard(context.Background(), args.Beat, nil)
+	h.heard(context.Background(), args.Beat, nil, false)
 	if len(args.Suspects) > 0 {
 		h.accused(args.Suspects)
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -71,8 +71,11 @@
 	// Listed says whether the platform lists the host as live.
 	Listed bool `json:"listed"`
 
-	seen    time.Time
-	leaving bool
+	// seen is when the host was last heard of, answered when it last answered
+	// a heartbeat of this host. Only an answer shows that the way there works.
+	seen     time.Time
+	answered time.Time
+	leaving  bool
 	// listedPeer is the address in the platform's list, which goes before the
 	// host's own word.
 	listedPeer string
@@ -146,9 +149,10 @@
 	return h
 }
 
-// Seen takes in a heartbeat. It returns whether the host began anew, so that
-// what its former incarnation ran is gone.
-func (t *Table) Seen(now time.Time, b Beat) (gone Former, restarted bool) {
+// Seen takes in a heartbeat, as the answer to one of this host's own or not. It
+// returns whether the host began anew, so that what its former incarnation ran
+// is gone.
+func (t *Table) Seen(now time.Time, b Beat, answer bool) (gone Former, restarted bool) {
 	if b.Self.ID == t.self.ID {
 		return Former{}, false
 	}
@@ -157,6 +161,10 @@
 	restarted = old != 0 && old != b.Self.Incarnation
 	if restarted {
 		h.Successor = ""
+		h.answered = time.Time{}
+	}
+	if answer {
+		h.answered = now
 	}
 	h.Self, h.Versions, h.seen = b.Self, b.Versions, now
 	h.leaving = b.Leaving
@@ -220,7 +228,7 @@
 	if h.Self.Domain != t.self.Domain {
 		return t.remote(now, h)
 	}
-	silent := now.Sub(h.seen)
+	silent := now.Sub(h.answered)
 	switch {
 	case silent < suspectBeats*t.Interval():
 		return Alive
@@ -327,7 +335,7 @@
 			delete(t.hosts, id)
 			continue
 		}
-		h.seen = time.Time{}
+		h.seen, h.answered = time.Time{}, time.Time{}
 	}
 	return gone
 }
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -14,7 +14,7 @@
 		return
 	}
 	for {
-		v := s.survey()
+		v := s.survey(now)
 		if !v.top || !s.grantFloor(now, v) && !s.grantTier(now, v) {
 			return
 		}
@@ -26,6 +26,8 @@
 	// top says that there may be room for the highest tier and for floors,
 	// ordinary that there may be room for any request.
 	top, ordinary bool
+	// reserve says that a part of each limit is kept for the highest tier.
+	reserve bool
 	// healthy says that some upstream is neither down nor on probation.
 	healthy bool
 	// bound is the number of runs up to which an upstream may be preferred
@@ -34,8 +36,8 @@
 }
 
 // survey looks at every upstream once.
-func (s *Scheduler) survey() view {
-	var v view
+func (s *Scheduler) survey(now time.Time) view {
+	v := view{reserve: now.Sub(s.topSeen) < reserveTime}
 	sum, n := 0, 0
 	for _, b := range s.backends {
 		if !b.live || b.health == down {
@@ -44,8 +46,8 @@
 		sum += b.inFlight
 		n++
 		v.healthy = v.healthy || b.health == healthy
-		v.ordinary = v.ordinary || float64(b.inFlight) < b.limit
-		v.top = v.top || float64(b.inFlight) < b.limit+b.allowance()
+		v.ordinary = v.ordinary || float64(b.inFlight) < b.bound(v.reserve)
+		v.top = v.top || float64(b.inFlight) < b.limit
 	}
 	v.bound = spread*float64(sum+1)/float64(max(1, n)) + 1
 	return v
@@ -117,7 +119,7 @@
 	if q.seat == it && !s.admitSeat(now, q) {
 		return true
 	}
-	b := s.choose(now, v, it, floor || q.tier == plan.HighestTier)
+	b := s.choose(now, v, it, v.reserve && !floor && q.tier != plan.HighestTier)
 	if b == nil {
 		return false
 	}
@@ -164,7 +166,7 @@
 // choose returns the upstream for a request, or nil where none has room. A
 // request with a prefix goes to the upstream that the prefix prefers among
 // those whose load is near the mean; any other goes to the least loaded.
-func (s *Scheduler) choose(now time.Time, v view, it *item, top bool) *backend {
+func (s *Scheduler) choose(now time.Time, v view, it *item, reserve bool) *backend {
 	allowed := s.allowed(it.ask.Content)
 	var best, near *backend
 	var bestLoad float64
@@ -173,7 +175,7 @@
 		if allowed != nil && !slices.Contains(allowed, b) {
 			continue
 		}
-		if !b.room(now, it, top) && (v.healthy || !b.lastResort()) {
+		if !b.room(now, it, reserve) && (v.healthy || !b.lastResort()) {
 			continue
 		}
 		if b.id == it.ask.Avoid && len(s.backends) > 1 {
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -32,6 +32,9 @@
 	// vetRuns is on how many upstreams a content may run at once before it
 	// finished for the first time.
 	vetRuns = 2
+	// reserveTime is how long room is kept for the highest tier after its last
+	// request.
+	reserveTime = 10 * time.Second
 	// confirmGrace is how old a grant must be to be missed.
 	confirmGrace = 2 * time.Second
 	// holdBack is how long a new scheduler waits for news of running requests.
@@ -64,6 +67,8 @@
 	quarantine time.Duration
 	// holdUntil is set while a new scheduler doesn't know yet what runs.
 	holdUntil time.Time
+	// topSeen is when the highest tier last asked.
+	topSeen time.Time
 	// rate is the measured work per second of one busy slot.
 	rate   float64
 	serial uint64
@@ -145,6 +150,9 @@
 	}
 	it := s.newItem(now, ask)
 	s.waiting[ask.ID] = it
+	if ask.Tier == plan.HighestTier {
+		s.topSeen = now
+	}
 	q := s.tiers[ask.Tier]
 	q.add(it)
 	s.fillSeat(now, q)
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -14,10 +14,10 @@
 	// limitLeast and limitMost bound an upstream's adaptive limit as parts of
 	// its slots.
 	limitLeast = 0.25
-	limitMost  = 2.0
-	// topAllowance is the part of the limit that the highest tier and floors
-	// may go above it.
-	topAllowance = 0.25
+	limitMost  = 1.0
+	// topReserve is the part of the limit that is kept free for the highest
+	// tier and for floors, while the highest tier sends requests.
+	topReserve = 0.125
 	// firstTokenPart is the part of the first-token target that an upstream
 	// may use up; the rest is for the queue.
 	firstTokenPart = 0.5
@@ -101,8 +101,13 @@
 	b.limit = min(max(b.limit, b.least()), b.slots*limitMost)
 }
 
-// allowance is how far the highest tier and floors may go above the limit.
-func (b *backend) allowance() float64 { return max(1, b.limit*topAllowance) }
+// bound returns the number of runs at which the upstream is full.
+func (b *backend) bound(reserve bool) float64 {
+	if reserve {
+		return b.limit * (1 - topReserve)
+	}
+	return b.limit
+}
 
 // lastResort says whether the upstream may be tried with any request where no
 // upstream of the pool is healthy.
@@ -110,9 +115,9 @@
 
 func (b *backend) least() float64 { return max(1, b.slots*limitLeast) }
 
-// room says whether the upstream may take a request now. Requests of the
-// highest tier and floors may go above the limit.
-func (b *backend) room(now time.Time, it *item, top bool) bool {
+// room says whether the upstream may take a request now. With reserve, a part
+// of the limit is left to the highest tier and to floors.
+func (b *backend) room(now time.Time, it *item, reserve bool) bool {
 	if !b.live || b.memory > memoryFull && now.Sub(b.memoryAt) < reportLife {
 		return false
 	}
@@ -122,11 +127,7 @@
 	case probation:
 		return b.inFlight == 0 && it.ask.Idempotent
 	}
-	bound := b.limit
-	if top {
-		bound += b.allowance()
-	}
-	if float64(b.inFlight) >= bound {
+	if float64(b.inFlight) >= b.bound(reserve) {
 		return false
 	}
 	return b.fits(it)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -135,6 +135,10 @@
 		lease.End(pool.Ended{Outcome: pool.Unused})
 		return &upstream.Error{Upstream: lease.Upstream(), Fault: upstream.NotSent, Reason: "no longer listed"}
 	}
+	if err := a.entitled(); err != nil {
+		lease.End(pool.Ended{Outcome: pool.Unused})
+		return err
+	}
 	if a.guard != nil {
 		if err := a.guard(ctx); err != nil {
 			lease.End(pool.Ended{Outcome: pool.Unused})
@@ -148,6 +152,27 @@
 	return err
 }
 
+// entitled checks the job against the lists in force now, which may have
+// changed while it was queued.
+func (a *attempt) entitled() error {
+	holder, ok := a.r.state().HolderOf(a.job.Account)
+	if !ok {
+		return refusal.New(refusal.BadKey, "the account was withdrawn while its request was queued")
+	}
+	may := holder.MayUseModel(plan.ModelID(a.job.Target))
+	code := refusal.ModelNotAllowed
+	if a.job.Kind == plan.Plain {
+		may, code = holder.MayUseService(plan.ServiceID(a.job.Target)), refusal.ServiceNotAllowed
+	}
+	if !may {
+		return refusal.New(code, a.job.Target+" was withdrawn while the request was queued")
+	}
+	if !holder.MayUseClass(a.job.Class) {
+		return refusal.New(refusal.ClassNotAllowed, string(a.job.Class)+" was withdrawn while the request was queued")
+	}
+	return nil
+}
+
 // send sends the job to the upstream and writes what comes back.
 func (a *attempt) send(ctx context.Context, client *upstream.Client, lease *placement.Lease) (upstream.Summary, error) {
 	request := upstream.Request{
