Let lower tiers leave more room where higher ones had to wait, and bound unread prompts

Cause: long runs of the lowest tier held slots and their prompts were read before those of the highest tier. Change: a grant that waited longer than 0.4 of its target raises what lower tiers leave free; tiers below others get no work on an engine with 1,000 unread prompt tokens; unread prompts count as load.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -57,7 +57,7 @@
 	var out [plan.LowestTier + 1]float64
 	active := 0
 	for t := plan.HighestTier; t <= plan.LowestTier; t++ {
-		out[t] = tierReserve * float64(min(active, reserveTiers))
+		out[t] = tierReserve*float64(min(active, reserveTiers)) + s.tiers[t].extra
 		if now.Sub(s.tiers[t].seen) < reserveTime {
 			active++
 		}
@@ -147,6 +147,7 @@
 		q.charge(it)
 	}
 	s.earn(q, it.work)
+	s.press(now, q, it)
 	s.fillSeat(now, q)
 	s.place(now, it, b)
 	s.out = append(s.out, Command{Kind: Grant, ID: it.ask.ID, Upstream: b.id})
@@ -180,6 +181,30 @@
 	served.granted += work
 }
 
+const (
+	// pressWait is the part of its first-token target after which a wait
+	// counts against the lower tiers.
+	pressWait = 0.4
+	// pressStep is by how much one such wait raises what they leave free.
+	pressStep = 0.02
+	extraMost = 0.45
+	// extraKeep is what is left of it after a tick.
+	extraKeep = 0.995
+)
+
+// press makes lower tiers leave more room where a request had to wait for it.
+func (s *Scheduler) press(now time.Time, q *tierQueue, it *item) {
+	bound := time.Duration(pressWait * float64(it.ask.Target.FirstToken.Std()))
+	if now.Sub(it.ask.Arrived) <= bound {
+		return
+	}
+	for _, lower := range s.tiers[q.tier+1:] {
+		if now.Sub(lower.seen) < reserveTime {
+			lower.extra = min(lower.extra+pressStep, extraMost)
+		}
+	}
+}
+
 // choose returns the upstream for a request, or nil where none has room. A
 // request with a prefix goes to the upstream that the prefix prefers among
 // those whose load is near the mean; any other goes to the least loaded.
@@ -245,6 +270,7 @@
 func (s *Scheduler) place(now time.Time, it *item, b *backend) {
 	b.inFlight++
 	b.work += it.work
+	b.unread += it.ask.Prompt
 	if it.huge {
 		b.reading++
 	}
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -212,6 +212,9 @@
 	seen time.Time
 	// patience is a moving bound of the tier's first-token targets.
 	patience time.Duration
+	// extra is the part of each limit that the tier leaves free because higher
+	// tiers had to wait. It lies between 0 and extraMost.
+	extra float64
 	// granted is the work granted since the last tick, pace the moving mean of
 	// the work granted per second.
 	granted Work
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -321,6 +321,7 @@
 		return
 	}
 	r.started = true
+	r.backend.unread -= r.ask.Prompt
 	if r.huge {
 		r.backend.reading--
 		return
@@ -395,6 +396,9 @@
 	if r.suspect {
 		b.suspects--
 	}
+	if !r.started {
+		b.unread -= r.ask.Prompt
+	}
 	if r.huge && !r.started {
 		b.reading--
 	}
@@ -481,6 +485,9 @@
 		it := s.newItem(now, &r.Ask)
 		s.place(now, it, b)
 		s.runs[r.Ask.ID].started = r.Started
+		if r.Started {
+			b.unread -= r.Ask.Prompt
+		}
 		if r.Started && it.huge {
 			b.reading--
 		}
@@ -528,6 +535,7 @@
 	span := now.Sub(s.measured)
 	for _, q := range s.tiers[1:] {
 		q.prune()
+		q.extra *= extraKeep
 		if span > 0 && !s.measured.IsZero() {
 			q.measure(span)
 		}
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -19,6 +19,10 @@
 	// higher one that sends requests, up to reserveTiers of them.
 	tierReserve  = 0.125
 	reserveTiers = 3
+	// unreadMost is the length of unread prompts on one upstream up to which
+	// tiers below others that send requests get new work there, since engines
+	// read prompts one after the other.
+	unreadMost Tokens = 1000
 	// firstTokenPart is the part of the first-token target that an upstream
 	// may use up; the rest is for the queue.
 	firstTokenPart = 0.5
@@ -71,6 +75,8 @@
 	cutAt    time.Time
 	inFlight int
 	work     Work
+	// unread is the length of all prompts whose first token has not come.
+	unread Tokens
 	// reading counts runs with a huge prompt and no token yet.
 	reading  int
 	suspects int
@@ -127,6 +133,9 @@
 	if float64(b.inFlight) >= b.bound(reserve) {
 		return false
 	}
+	if reserve > 0 && b.unread > 0 && b.unread+it.ask.Prompt > unreadMost {
+		return false
+	}
 	return b.fits(it)
 }
 
@@ -200,7 +209,8 @@
 	if b.samples > 0 {
 		speed = b.between.Seconds()
 	}
-	return (float64(b.inFlight) + 1) * speed / b.limit
+	running := float64(b.inFlight) + 1 + promptWork*float64(b.unread)
+	return running * speed / b.limit
 }
 
 // medianBetween returns the pool's median gap between tokens, or zero where
