--- a/peer/codec.go
+++ b/peer/codec.go
@@ -53,7 +53,15 @@
 	return c.dec.Decode(header)
 }
 
-func (c *codec) readBody(body any) error { return c.dec.Decode(body) }
+// readBody closes the connection where the message is too large, since the rest
+// of it would be taken for the next one.
+func (c *codec) readBody(body any) error {
+	err := c.dec.Decode(body)
+	if errors.Is(err, ErrTooLarge) {
+		_ = c.conn.Close()
+	}
+	return err
+}
 
 func (c *codec) write(header, body any) error {
 	if err := c.enc.Encode(header); err != nil {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -132,6 +132,16 @@
 	return nil
 }
 
+// oldestLate returns an item that can't meet its deadline any more, or nil.
+func (f *flow) oldestLate() *item {
+	for i := range f.lanes {
+		if late := f.lanes[i].late.items; len(late) > 0 {
+			return late[0]
+		}
+	}
+	return nil
+}
+
 func (f *flow) link(it *item) {
 	it.older = f.newest
 	if f.newest != nil {
@@ -313,19 +323,27 @@
 	}
 }
 
-// victim returns the newest item of the account that is furthest over its
-// share, counting what it has queued. The queue must not be empty.
+// victim returns the item that is given up first. The queue must not be empty.
+// It is one that is late already, if there is any, since its answer would be
+// late for certain; else the newest item of the account that is furthest over
+// its share, counting what it has queued.
 func (q *tierQueue) victim() *item {
-	var worst *flow
-	var most float64
+	var worst, latest *flow
+	var most, latestMost float64
 	for id := range q.lanes {
 		for _, f := range q.lanes[id].flows {
 			ahead := f.virtual + float64(f.queued)/f.share
 			if worst == nil || ahead > most || (ahead == most && f.account < worst.account) {
 				worst, most = f, ahead
 			}
+			if f.oldestLate() != nil && (latest == nil || ahead > latestMost || (ahead == latestMost && f.account < latest.account)) {
+				latest, latestMost = f, ahead
+			}
 		}
 	}
+	if latest != nil {
+		return latest.oldestLate()
+	}
 	return worst.newest
 }
 
@@ -350,6 +368,10 @@
 	q.patience += time.Duration(smoothing * float64(target-q.patience))
 }
 
+// hopelessPart is the part of the target that a wait in the queue may take; the
+// engine needs the rest.
+const hopelessPart = 0.8
+
 // hopeless says whether a request at the end of the queue would get its first
 // token late at the tier's pace, which is at least the given one.
 func (q *tierQueue) hopeless(least float64) bool {
@@ -357,7 +379,7 @@
 		return false
 	}
 	wait := time.Duration(float64(q.queued) / max(q.pace, least) * float64(time.Second))
-	return wait > q.patience
+	return float64(wait) > hopelessPart*float64(q.patience)
 }
 
 // prune forgets accounts that have nothing queued and are not ahead of the
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -177,7 +177,7 @@
 func (a *attempt) send(ctx context.Context, client *upstream.Client, lease *placement.Lease) (upstream.Summary, error) {
 	request := upstream.Request{
 		ID: a.job.ID, Method: a.job.Method, Path: a.job.Path, Body: a.job.Body,
-		Priority: enginePriority(a.holder),
+		Priority: enginePriority(a.holder), Prompt: a.job.Prompt,
 	}
 	if a.job.ContentType != "" {
 		request.Header = map[string][]string{"Content-Type": {a.job.ContentType}}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -89,6 +89,17 @@
 	// Ticket is set for a request that must not run twice.
 	Ticket   string
 	Priority int
+	// Prompt is the estimated length of the prompt. Reading a long one takes
+	// its time before any progress can be seen.
+	Prompt pool.Tokens
+}
+
+// readTime is how long an engine may take to read one token of a prompt.
+const readTime = 500 * time.Microsecond
+
+// patience is how long a request may show no progress before its first event.
+func (c *Client) patience(r Request) time.Duration {
+	return c.silence + time.Duration(r.Prompt)*readTime
 }
 
 // send writes a request and returns the response's head. A request with a
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -124,7 +124,7 @@
 func (s *stream) try(parent context.Context, r Request) error {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(s.client.silence, func() { cancel(errSilent) })
+	watchdog := time.AfterFunc(s.client.patience(s.request), func() { cancel(errSilent) })
 	defer watchdog.Stop()
 	response, err := s.client.send(ctx, r)
 	if err != nil {
