Measure what each role costs and mend three costs that grow with the fleet

Cause: docs/CAPACITY.md needs measured slopes. They showed: looking at the hosts of a domain cost 2.56 ms with 370 hosts known (13% of a core for membership); load reports were read at twice a second per engine, 174/s for a pool of 87; each request took three messages to a remote scheduler. Change: the table of hosts is indexed by domain; load reports are read at 10/s per host at the most; the first token is reported when it comes for prompts from 500 tokens on, and with the end for others.

--- /dev/null
+++ b/capacity/slope.go
@@ -0,0 +1,284 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"mulberrydyke/audit"
+	"mulberrydyke/member"
+	"mulberrydyke/metric"
+	"mulberrydyke/peer"
+	"mulberrydyke/plan"
+	"mulberrydyke/pool"
+	"mulberrydyke/standin"
+	"mulberrydyke/ticket"
+	"mulberrydyke/upstream"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+const (
+	turns   = 200_000
+	queued  = 20_000
+	records = 20_000
+	calls   = 3_000
+)
+
+func floors() [plan.LowestTier + 1]float64 {
+	var out [plan.LowestTier + 1]float64
+	for t := plan.HighestTier; t <= plan.LowestTier; t++ {
+		out[t] = 0.02
+	}
+	return out
+}
+
+// newScheduler returns a scheduler of the largest pool: every upstream of a
+// domain serves the model.
+func newScheduler() *pool.Scheduler {
+	size := LetterSize()
+	s := pool.NewScheduler(epoch, false, pool.NewSuspects())
+	var list []plan.Upstream
+	for i := range size.Upstreams/size.Domains + 1 {
+		list = append(list, plan.Upstream{ID: plan.UpstreamID(fmt.Sprintf("engine-%d", i)), Slots: 96, State: plan.Live, Models: []plan.ModelID{"m"}})
+	}
+	s.Update(epoch, &pool.Changed{Upstreams: list, Floors: floors(), Quarantine: time.Minute, Part: 1})
+	return s
+}
+
+func askOf(i int) pool.Ask {
+	return pool.Ask{
+		ID:      pool.RequestID{Host: "region-1-domain-1-host-0001", Incarnation: 1, Sequence: uint64(i)},
+		Account: plan.AccountID(fmt.Sprintf("account-%d", i%LetterSize().Accounts)), Class: "chat",
+		Tier: plan.Tier(i%5 + 1), Share: 0.5, Prompt: 500, MaxOutput: 300, Content: pool.ContentHash(2*i + 1),
+		Prefix: pool.PrefixHash(i % 97), Arrived: epoch, Idempotent: true,
+		Target: plan.Target{FirstToken: plan.Duration(time.Hour), BetweenTokens: plan.Duration(time.Second)},
+	}
+}
+
+// turnSlope measures one request's whole way through a scheduler.
+func turnSlope() Slope {
+	s := newScheduler()
+	spent, _ := measure(turns, func(i int) {
+		a := askOf(i)
+		s.Update(epoch, &pool.Asked{Ask: a})
+		s.Update(epoch, &pool.Ended{ID: a.ID, Outcome: pool.Done, Output: 300, Between: time.Millisecond})
+	})
+	return Slope{Name: "scheduler", Unit: "request, 86 upstreams", Processor: spent}
+}
+
+// queuedSlope measures what waiting and running requests take.
+func queuedSlope() Slope {
+	s := newScheduler()
+	_, kept := measure(queued, func(i int) { s.Update(epoch, &pool.Asked{Ask: askOf(i)}) })
+	runtime.KeepAlive(s)
+	return Slope{Name: "scheduler", Unit: "request held", Memory: kept}
+}
+
+func selfOf(i int) member.Self {
+	return member.Self{
+		ID: plan.HostID(fmt.Sprintf("region-1-domain-1-host-%04d", i)), Incarnation: member.Incarnation(i + 1),
+		Domain: "region-1-domain-1", Region: "region-1", Peer: "10.200.200.200:65000",
+	}
+}
+
+// membershipSlope measures the table of hosts.
+func membershipSlope() Slope {
+	hosts := LetterSize().Hosts
+	table := member.NewTable(selfOf(0))
+	_, kept := measure(hosts, func(i int) { table.Seen(epoch, member.Beat{Self: selfOf(i + 1)}, true) })
+	own := member.NewTable(selfOf(0))
+	for i := range hosts / LetterSize().Domains {
+		own.Seen(epoch, member.Beat{Self: selfOf(i + 1)}, true)
+	}
+	spent, _ := measure(turns/100, func(int) { own.Live(epoch, "region-1-domain-1") })
+	runtime.KeepAlive(table)
+	return Slope{Name: "membership", Unit: "host known; look at a domain of 53", Processor: spent, Memory: kept}
+}
+
+func former(host plan.HostID) member.Former { return member.Former{Host: host, Incarnation: 1} }
+
+// homeSlope measures a ticket at its home.
+func homeSlope() Slope {
+	home := ticket.NewHome(former("home"), []byte("key"), time.Hour, 2*records)
+	spent, kept := measure(records, func(i int) {
+		t, err := home.Mint(epoch, "account", former("backup"))
+		if err == nil {
+			_, _, err = home.Use(epoch, t, "account", ticket.Hash{byte(i)})
+		}
+		if err != nil || !home.MayDispatch(epoch, t) {
+			panic("the home refused a fresh ticket")
+		}
+		home.Finish(t, ticket.Ran, "")
+	})
+	runtime.KeepAlive(home)
+	return Slope{Name: "ticket home", Unit: "ticket used, without its answer", Processor: spent, Memory: kept}
+}
+
+// backupSlope measures a ticket at its backup.
+func backupSlope() Slope {
+	home := ticket.NewHome(former("home"), []byte("key"), time.Hour, records)
+	tokens := make([]ticket.Token, records)
+	for i := range tokens {
+		t, err := home.Mint(epoch, "account", former("backup"))
+		if err != nil {
+			panic(err)
+		}
+		tokens[i] = t
+	}
+	backup := ticket.NewBackup(former("backup"), time.Hour, 2*records)
+	spent, kept := measure(records, func(i int) { backup.Intend(epoch, tokens[i]) })
+	runtime.KeepAlive(backup)
+	runtime.KeepAlive(tokens)
+	size := float64(len(tokens[0]))
+	return Slope{Name: "ticket backup", Unit: "intent", Processor: spent, Memory: kept + size, Traffic: 2 * size}
+}
+
+// metricSlope measures the histograms of an account.
+func metricSlope() Slope {
+	set := metric.NewSet()
+	accounts := LetterSize().Accounts
+	spent, kept := measure(accounts, func(i int) {
+		for latency := range 30 {
+			set.Decided(&audit.Decision{
+				Account: plan.AccountID(fmt.Sprintf("account-%d", i)), Tier: plan.Tier(i%5 + 1), Class: "chat",
+				FirstToken: plan.Duration(time.Duration(latency+1) * 17 * time.Millisecond),
+			}, 0)
+		}
+	})
+	runtime.KeepAlive(set)
+	return Slope{Name: "metrics", Unit: "account; time of one request", Processor: spent / 30, Memory: kept}
+}
+
+// listSlopes measures the adoption of lists of the full size.
+func listSlopes() ([]Slope, error) {
+	var out []Slope
+	for kind, list := range fullLists() {
+		raw, err := json.Marshal(list)
+		if err != nil {
+			return nil, err
+		}
+		const times = 20
+		states := make([]*plan.State, times)
+		spent, kept := measure(times, func(i int) {
+			states[i], err = plan.NewState().With(kind, raw)
+		})
+		if err != nil {
+			return nil, err
+		}
+		runtime.KeepAlive(states)
+		out = append(out, Slope{Name: "list " + string(kind), Unit: "version taken up", Processor: spent, Memory: kept + float64(len(raw)), Traffic: float64(len(raw))})
+	}
+	return out, nil
+}
+
+// fullLists returns lists of the size to come.
+func fullLists() map[plan.Kind]any {
+	size := LetterSize()
+	plans := plan.Plans{Version: 1, Plans: []plan.Plan{{ID: "plan", Tier: 1}}}
+	for i := range size.Accounts {
+		plans.Accounts = append(plans.Accounts, plan.Account{
+			ID: plan.AccountID(fmt.Sprintf("account-%04d", i)), Plan: "plan", KeyHashes: []string{fmt.Sprintf("%064x", i)},
+		})
+	}
+	upstreams := plan.Upstreams{Version: 1}
+	for i := range size.Upstreams {
+		upstreams.Upstreams = append(upstreams.Upstreams, plan.Upstream{
+			ID: plan.UpstreamID(fmt.Sprintf("engine-%04d", i)), Address: "10.200.200.200:65000", Domain: "region-1-domain-1",
+			Kind: plan.Engine, Models: []plan.ModelID{"model-1", "model-2"}, Slots: 96, State: plan.Live,
+		})
+	}
+	hosts := plan.Hosts{Version: 1}
+	for i := range size.Hosts {
+		s := selfOf(i)
+		hosts.Hosts = append(hosts.Hosts, plan.Host{ID: s.ID, Peer: s.Peer, Domain: s.Domain, Region: s.Region, State: plan.Live})
+	}
+	return map[plan.Kind]any{plan.KindPlans: plans, plan.KindUpstreams: upstreams, plan.KindHosts: hosts}
+}
+
+// answerer answers the calls that linkSlopes measures.
+type answerer struct{}
+
+// Beat answers a heartbeat.
+func (answerer) Beat(args *peer.BeatArgs, reply *peer.BeatReply) error {
+	reply.Beat = args.Beat
+	return args.Check()
+}
+
+// Ask grants at once.
+func (answerer) Ask(args *peer.AskArgs, reply *peer.AskReply) error {
+	reply.Command = pool.Command{Kind: pool.Grant, ID: args.Ask.Ask.ID, Upstream: "region-1-domain-1-engine-0001"}
+	return args.Check()
+}
+
+// Report takes reports in.
+func (answerer) Report(args *peer.ReportArgs, _ *peer.None) error { return args.Check() }
+
+// linkSlopes measures messages between hosts over loopback, both ends together.
+func linkSlopes() ([]Slope, error) {
+	traffic := &peer.Traffic{}
+	server, stop, err := peer.Listen("127.0.0.1:0", "a key for measurements", answerer{}, &peer.Traffic{})
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	client, cleanup := peer.NewClient("a key for measurements", traffic)
+	defer cleanup()
+	ctx := context.Background()
+	one := func(name, unit string, call func(i int) error) (Slope, error) {
+		for i := range 10 {
+			if err := call(i); err != nil {
+				return Slope{}, err
+			}
+		}
+		before := traffic.In.Load() + traffic.Out.Load()
+		var failed error
+		spent, _ := measure(calls, func(i int) {
+			if err := call(i); err != nil {
+				failed = err
+			}
+		})
+		bytes := float64(traffic.In.Load()+traffic.Out.Load()-before) / calls
+		return Slope{Name: name, Unit: unit, Processor: spent, Traffic: bytes}, failed
+	}
+	id := pool.ID{Name: "model-1", Kind: plan.Engine, Domain: "region-1-domain-1"}
+	beat, err := one("heartbeat", "exchange, both ends", func(int) error {
+		args := &peer.BeatArgs{Beat: member.Beat{Self: selfOf(1), Versions: plan.Versions{Plans: 1000, Entitlements: 1000, Upstreams: 1000, Hosts: 1000}}}
+		return client.Call(ctx, server.Address(), "Beat", args, &peer.BeatReply{})
+	})
+	if err != nil {
+		return nil, err
+	}
+	ask, err := one("remote grant", "request, both ends", func(i int) error {
+		a := askOf(i)
+		if err := client.Call(ctx, server.Address(), "Ask", &peer.AskArgs{Pool: id, Ask: peer.NewAsk(epoch, a)}, &peer.AskReply{}); err != nil {
+			return err
+		}
+		args := &peer.ReportArgs{Pool: id, Ended: []pool.Ended{{ID: a.ID, Outcome: pool.Done, Output: 300}}}
+		return client.Call(ctx, server.Address(), "Report", args, &peer.None{})
+	})
+	return []Slope{beat, ask}, err
+}
+
+// loadSlope measures the read of a load report, the engine's end included.
+func loadSlope() (Slope, error) {
+	const bytes = 420
+	engine, cleanup := standin.NewEngine(standin.DefaultEngineOptions("engine"))
+	defer cleanup()
+	address, stop, err := engine.Serve("127.0.0.1:0")
+	if err != nil {
+		return Slope{}, err
+	}
+	defer stop()
+	client, end := upstream.NewClient(plan.Upstream{ID: "engine", Address: address}, time.Second)
+	defer end()
+	var failed error
+	spent, _ := measure(calls, func(int) {
+		if _, err := client.Load(context.Background()); err != nil {
+			failed = err
+		}
+	})
+	return Slope{Name: "load report", Unit: "read", Processor: spent, Traffic: bytes}, failed
+}
--- a/cmd/mulberrydyke/load.go
+++ b/cmd/mulberrydyke/load.go
@@ -65,7 +65,7 @@
 	s.Float64Var(&f.straggler, "straggler", 0, "slow one engine down by this factor")
 	s.DurationVar(&f.crashAt, "crash-at", 0, "crash one engine at this time")
 	s.DurationVar(&f.reportLag, "report-lag", 0, "age of the engines' load reports")
-	c.AddCommand(loadListsCommand())
+	c.AddCommand(loadListsCommand(), capacityCommand())
 	return c
 }
 
--- a/host/duties.go
+++ b/host/duties.go
@@ -15,9 +15,8 @@
 
 const (
 	beatTimeout = time.Second
-	loadEvery   = 500 * time.Millisecond
-	// loadsAtOnce bounds the load reports that are read at the same time.
-	loadsAtOnce = 32
+	// loadEvery is the time between two reads of load reports.
+	loadEvery = 100 * time.Millisecond
 	// confirmEvery is how often a scheduler asks the other hosts which of its
 	// grants they still hold.
 	confirmEvery = 3 * time.Second
@@ -165,36 +164,47 @@
 	return runs
 }
 
-// loads reads the load reports of the engines whose pools are decided here.
+// loads reads the load reports of the engines whose pools are decided here, one
+// after the other, so that their number per second is bounded however many
+// engines there are.
 func (h *Host) loads(ctx context.Context) {
 	tick := time.NewTicker(loadEvery)
 	defer tick.Stop()
+	var left []loadTarget
 	for {
 		select {
 		case <-tick.C:
-			h.readLoads(ctx)
+			if len(left) == 0 {
+				left = h.loadTargets()
+			}
+			if len(left) > 0 {
+				target := left[0]
+				left = left[1:]
+				h.duties.Go(func() { h.readLoad(ctx, target.pool, target.upstream) })
+			}
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (h *Host) readLoads(ctx context.Context) {
-	slots := make(chan struct{}, loadsAtOnce)
-	var wait sync.WaitGroup
+// loadTarget is an engine in a pool that is decided here.
+type loadTarget struct {
+	pool     pool.ID
+	upstream plan.UpstreamID
+}
+
+func (h *Host) loadTargets() []loadTarget {
+	var out []loadTarget
 	for _, id := range h.local.Pools() {
 		if id.Kind != plan.Engine {
 			continue
 		}
 		for _, u := range placement.UpstreamsOf(h.State(), id) {
-			slots <- struct{}{}
-			wait.Go(func() {
-				defer func() { <-slots }()
-				h.readLoad(ctx, id, u.ID)
-			})
+			out = append(out, loadTarget{id, u.ID})
 		}
 	}
-	wait.Wait()
+	return out
 }
 
 func (h *Host) readLoad(ctx context.Context, id pool.ID, u plan.UpstreamID) {
--- a/member/member.go
+++ b/member/member.go
@@ -86,6 +86,8 @@
 	self    Self
 	leaving bool
 	hosts   map[plan.HostID]*Host
+	// byDomain holds the same hosts by failure domain, ordered by name.
+	byDomain map[plan.DomainID][]*Host
 	// absent holds hosts of other domains that their domain misses.
 	absent map[plan.HostID]time.Time
 	// former gives the successor of each incarnation that left.
@@ -103,10 +105,11 @@
 // NewTable returns a table that knows only its own host.
 func NewTable(self Self) *Table {
 	return &Table{
-		self:   self,
-		hosts:  map[plan.HostID]*Host{},
-		absent: map[plan.HostID]time.Time{},
-		former: map[Former]plan.HostID{},
+		self:     self,
+		hosts:    map[plan.HostID]*Host{},
+		byDomain: map[plan.DomainID][]*Host{},
+		absent:   map[plan.HostID]time.Time{},
+		former:   map[Former]plan.HostID{},
 	}
 }
 
@@ -138,6 +141,18 @@
 			h.Listed = false
 		}
 	}
+	t.index()
+}
+
+// index sorts the hosts into their failure domains.
+func (t *Table) index() {
+	t.byDomain = map[plan.DomainID][]*Host{}
+	for _, h := range t.hosts {
+		t.byDomain[h.Self.Domain] = append(t.byDomain[h.Self.Domain], h)
+	}
+	for _, hosts := range t.byDomain {
+		slices.SortFunc(hosts, func(a, b *Host) int { return strings.Compare(string(a.Self.ID), string(b.Self.ID)) })
+	}
 }
 
 func (t *Table) host(id plan.HostID) *Host {
@@ -157,7 +172,7 @@
 		return Former{}, false
 	}
 	h := t.host(b.Self.ID)
-	old := h.Self.Incarnation
+	old, domain := h.Self.Incarnation, h.Self.Domain
 	restarted = old != 0 && old != b.Self.Incarnation
 	if restarted {
 		h.Successor = ""
@@ -176,6 +191,9 @@
 		t.rememberFormer(Former{Host: b.Self.ID, Incarnation: b.Self.Incarnation}, b.Successor)
 	}
 	delete(t.absent, b.Self.ID)
+	if domain != b.Self.Domain {
+		t.index()
+	}
 	return Former{Host: b.Self.ID, Incarnation: old}, restarted
 }
 
@@ -201,12 +219,7 @@
 // Interval returns the time between heartbeats. It grows with the domain, so
 // that the traffic of one host is bounded.
 func (t *Table) Interval() time.Duration {
-	n := 1
-	for _, h := range t.hosts {
-		if h.Self.Domain == t.self.Domain {
-			n++
-		}
-	}
+	n := 1 + len(t.byDomain[t.self.Domain])
 	return beatFirst * time.Duration(max(1, (n+beatHosts-1)/beatHosts))
 }
 
@@ -250,33 +263,28 @@
 	return Dead
 }
 
-// Live returns the hosts of a domain that may be given new work, in order.
+// Live returns the hosts of a domain that may be given new work, this one first.
 func (t *Table) Live(now time.Time, domain plan.DomainID) []Self {
-	var out []Self
+	out := make([]Self, 0, len(t.byDomain[domain])+1)
 	if domain == t.self.Domain && !t.leaving {
 		out = append(out, t.self)
 	}
-	for id, h := range t.hosts {
-		if h.Self.Domain == domain && t.ConditionOf(now, id) == Alive {
+	for _, h := range t.byDomain[domain] {
+		if t.ConditionOf(now, h.Self.ID) == Alive {
 			out = append(out, h.Self)
 		}
 	}
-	slices.SortFunc(out, func(a, b Self) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
 
 // Absent returns the listed hosts of the own domain that are dead or leaving.
 func (t *Table) Absent(now time.Time) []plan.HostID {
 	var out []plan.HostID
-	for id, h := range t.hosts {
-		if h.Self.Domain != t.self.Domain {
-			continue
-		}
-		if c := t.ConditionOf(now, id); c == Dead || c == Leaving {
-			out = append(out, id)
+	for _, h := range t.byDomain[t.self.Domain] {
+		if c := t.ConditionOf(now, h.Self.ID); c == Dead || c == Leaving {
+			out = append(out, h.Self.ID)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
@@ -337,6 +345,9 @@
 		}
 		h.seen, h.answered = time.Time{}, time.Time{}
 	}
+	if len(gone) > 0 {
+		t.index()
+	}
 	return gone
 }
 
--- a/placement/client.go
+++ b/placement/client.go
@@ -211,7 +211,9 @@
 	l.mu.Lock()
 	l.started = true
 	l.mu.Unlock()
-	l.tell(&pool.Started{ID: l.ask.ID, Latency: latency})
+	if l.ask.IsLong() {
+		l.tell(&pool.Started{ID: l.ask.ID, Latency: latency})
+	}
 }
 
 // End reports how the run ended and gives the place back. Further calls do
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -270,7 +270,7 @@
 func (s *Scheduler) place(now time.Time, it *item, b *backend) {
 	b.inFlight++
 	b.work += it.work
-	b.unread += it.ask.Prompt
+	b.unread += it.ask.unread()
 	if it.huge {
 		b.reading++
 	}
--- a/pool/event.go
+++ b/pool/event.go
@@ -59,6 +59,22 @@
 	Idempotent bool
 }
 
+// longPrompt is the length from which a prompt counts as unread until its first
+// token comes.
+const longPrompt Tokens = 500
+
+// IsLong says whether the scheduler wants to know of the first token when it
+// comes. Otherwise the report of the end is early enough.
+func (a *Ask) IsLong() bool { return a.Prompt >= longPrompt }
+
+// unread is the part of the prompt that counts until the first token comes.
+func (a *Ask) unread() Tokens {
+	if a.IsLong() {
+		return a.Prompt
+	}
+	return 0
+}
+
 // Run is a granted request, as its entry host describes it to a new scheduler.
 type Run struct {
 	Ask      Ask
@@ -108,6 +124,9 @@
 		Outcome  Outcome
 		Output   Tokens
 		Instance Instance
+		// FirstToken runs from dispatch to the first token. Zero where none
+		// came.
+		FirstToken time.Duration
 		// Between is the mean gap between tokens. Zero where unknown.
 		Between time.Duration
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -321,7 +321,7 @@
 		return
 	}
 	r.started = true
-	r.backend.unread -= r.ask.Prompt
+	r.backend.unread -= r.ask.unread()
 	if r.huge {
 		r.backend.reading--
 		return
@@ -360,6 +360,9 @@
 		s.rate += 0.05 * (rate - s.rate)
 	}
 	b := r.backend
+	if !r.started && e.FirstToken > 0 {
+		b.started(now, e.FirstToken, r.ask.Target)
+	}
 	b.ended(now, e.Between, r.ask.Target)
 	if b.health == probation {
 		s.judgeProbe(now, b, e.Between)
@@ -397,7 +400,7 @@
 		b.suspects--
 	}
 	if !r.started {
-		b.unread -= r.ask.Prompt
+		b.unread -= r.ask.unread()
 	}
 	if r.huge && !r.started {
 		b.reading--
@@ -486,7 +489,7 @@
 		s.place(now, it, b)
 		s.runs[r.Ask.ID].started = r.Started
 		if r.Started {
-			b.unread -= r.Ask.Prompt
+			b.unread -= r.Ask.unread()
 		}
 		if r.Started && it.huge {
 			b.reading--
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -133,7 +133,7 @@
 	if float64(b.inFlight) >= b.bound(reserve) {
 		return false
 	}
-	if reserve > 0 && b.unread > 0 && b.unread+it.ask.Prompt > unreadMost {
+	if reserve > 0 && b.unread > 0 && b.unread+it.ask.unread() > unreadMost {
 		return false
 	}
 	return b.fits(it)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -231,7 +231,7 @@
 
 // ended says how a try ended, for the pool's scheduler.
 func (a *attempt) ended(ctx context.Context, client *upstream.Client, before pool.Instance, s upstream.Summary, err error) pool.Ended {
-	out := pool.Ended{Outcome: pool.Done, Output: s.Tokens, Between: s.Between, Instance: s.Instance}
+	out := pool.Ended{Outcome: pool.Done, Output: s.Tokens, FirstToken: s.FirstToken, Between: s.Between, Instance: s.Instance}
 	if out.Instance == "" {
 		out.Instance = before
 	}
