--- a/capacity/slope.go
+++ b/capacity/slope.go
@@ -264,7 +264,6 @@
 
 // loadSlope measures the read of a load report, the engine's end included.
 func loadSlope() (Slope, error) {
-	const bytes = 420
 	engine, cleanup := standin.NewEngine(standin.DefaultEngineOptions("engine"))
 	defer cleanup()
 	address, stop, err := engine.Serve("127.0.0.1:0")
@@ -272,13 +271,28 @@
 		return Slope{}, err
 	}
 	defer stop()
-	client, end := upstream.NewClient(plan.Upstream{ID: "engine", Address: address}, time.Second)
+	direct, end := upstream.NewClient(plan.Upstream{ID: "direct", Address: address}, time.Second)
 	defer end()
-	var failed error
-	spent, _ := measure(calls, func(int) {
-		if _, err := client.Load(context.Background()); err != nil {
-			failed = err
-		}
-	})
-	return Slope{Name: "load report", Unit: "read", Processor: spent, Traffic: bytes}, failed
+	read := func(c *upstream.Client) (time.Duration, error) {
+		var failed error
+		spent, _ := measure(calls, func(int) {
+			if _, err := c.Load(context.Background()); err != nil {
+				failed = err
+			}
+		})
+		return spent, failed
+	}
+	spent, err := read(direct)
+	if err != nil {
+		return Slope{}, err
+	}
+	meter, err := newMeter(address)
+	if err != nil {
+		return Slope{}, err
+	}
+	defer meter.close()
+	metered, finish := upstream.NewClient(plan.Upstream{ID: "metered", Address: meter.address()}, time.Second)
+	defer finish()
+	_, err = read(metered)
+	return Slope{Name: "load report", Unit: "read", Processor: spent, Traffic: float64(meter.bytes.Load()) / calls}, err
 }
--- a/cmd/mulberrydyke/load.go
+++ b/cmd/mulberrydyke/load.go
@@ -65,7 +65,7 @@
 	s.Float64Var(&f.straggler, "straggler", 0, "slow one engine down by this factor")
 	s.DurationVar(&f.crashAt, "crash-at", 0, "crash one engine at this time")
 	s.DurationVar(&f.reportLag, "report-lag", 0, "age of the engines' load reports")
-	c.AddCommand(loadListsCommand(), capacityCommand())
+	c.AddCommand(loadListsCommand(), capacityCommand(), streamsCommand())
 	return c
 }
 
@@ -135,3 +135,28 @@
 	c.Flags().StringVar(&dir, "dir", ".", "folder for the files")
 	return c
 }
+
+func streamsCommand() *cobra.Command {
+	atOnce := []int{50, 500}
+	c := &cobra.Command{
+		Use:     "streams",
+		Short:   "Compares streams through one entry host with streams direct to the engine.",
+		Example: "  mulberrydyke load streams --at-once 50,500",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			options := load.DefaultFleet(load.Profiles()["blue-mahoe"])
+			options.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+			var results []load.StreamResult
+			for _, n := range atOnce {
+				r, err := load.Streams(c.Context(), options, n)
+				if err != nil {
+					return err
+				}
+				results = append(results, r)
+			}
+			return load.WriteStreams(c.OutOrStdout(), results)
+		},
+	}
+	c.Flags().IntSliceVar(&atOnce, "at-once", atOnce, "numbers of streams to open at once")
+	return c
+}
