Say 'unknown' for a ticket that was not looked up

Cause: reading the refusals against the promise: a commission that had run, sent again with its ticket to a host that was stopping or starting, was called not run; so were a damaged copy of a ticket, and a ticket refused for lack of memory that a later resend might run. A caller that took a new ticket then could have it run twice. Change: a refusal before the ticket was looked up is 'unknown' where the request carries a ticket; invalid tickets and full tables are 'unknown'; a peer's refusal while it starts is tried again in place of 'not-run'. Conclusion: 'not-run' is left to the ticket's home, its heir and its backup.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,6 +108,8 @@
 	arrived time.Time
 	state   *plan.State
 	holder  plan.Holder
+	// asked is set once the request's ticket was looked up at its home.
+	asked bool
 }
 
 // guarded checks the key and counts the request.
@@ -117,15 +119,26 @@
 		defer s.running.Add(-1)
 		c := &call{w: w, r: r, arrived: time.Now(), state: s.state()}
 		if err := s.admit(c); err != nil {
-			s.refuse(w, err)
+			s.refuse(w, c.honest(err))
 			return
 		}
 		if err := next(c); err != nil {
-			s.refuse(w, refusal.Of(err))
+			s.refuse(w, c.honest(refusal.Of(err)))
 		}
 	}
 }
 
+// honest returns a refusal whose outcome is true for the request's ticket: what
+// is refused before the ticket was looked up may have run under it earlier.
+func (c *call) honest(e *refusal.Error) *refusal.Error {
+	if c.asked || e.Outcome != ticket.NotRun || c.r.Header.Get(TicketHeader) == "" {
+		return e
+	}
+	out := *e
+	out.Outcome = ticket.Unknown
+	return &out
+}
+
 func (s *Server) admit(c *call) *refusal.Error {
 	if s.stopping.Load() {
 		return refusal.New(refusal.Stopping, "the host is stopping").After(time.Second)
@@ -265,6 +278,7 @@
 		err := s.Execute(ctx, j, c.arrived, nil, out)
 		return out.end(err)
 	}
+	c.asked = true
 	err := s.desk.Use(ctx, token, j, c.arrived, out)
 	return out.end(s.withTicket(j, err))
 }
--- a/relay/use.go
+++ b/relay/use.go
@@ -194,20 +194,17 @@
 	return nil
 }
 
-// reach calls a host and tries again over a new connection where the link
-// broke. What it calls may be repeated.
+// reach calls a host and tries again where the link broke or the host refused,
+// as one does that is starting. What it calls may be repeated.
 func (d *Desk) reach(ctx context.Context, host member.Self, method string, args, reply any) error {
 	for range reachTries {
 		call, cancel := context.WithTimeout(ctx, max(useTime, readTime))
 		err := d.fleet.Call(call, host, method, args, reply)
 		cancel()
-		var refused *peer.RefusedError
-		switch {
-		case err == nil:
+		if err == nil {
 			return nil
-		case errors.As(err, &refused):
-			return refusal.New(refusal.BadRequest, refused.Reason)
-		case ctx.Err() != nil:
+		}
+		if ctx.Err() != nil {
 			return refusal.New(refusal.CallerGone, ctx.Err().Error())
 		}
 		pause(ctx, reachPause)
--- a/ticket/estate.go
+++ b/ticket/estate.go
@@ -78,7 +78,7 @@
 func (h *Heir) Use(t Token, account plan.AccountID, hash Hash) (Settled, error) {
 	n, err := Parse(t)
 	if err != nil {
-		return Settled{}, &RefusedError{Reason: Forged, Outcome: NotRun}
+		return Settled{}, &RefusedError{Reason: Forged, Outcome: Unknown}
 	}
 	in := h.estates[n.Home]
 	if in == nil || !in.complete {
--- a/ticket/home.go
+++ b/ticket/home.go
@@ -154,13 +154,13 @@
 func (h *Home) Use(now time.Time, t Token, account plan.AccountID, hash Hash) (*Record, bool, error) {
 	n, err := Parse(t)
 	if err != nil {
-		return nil, false, &RefusedError{Reason: Forged, Outcome: NotRun}
+		return nil, false, &RefusedError{Reason: Forged, Outcome: Unknown}
 	}
 	if n.Home != h.self {
 		return nil, false, &RefusedError{Reason: HomeGone, Outcome: Unknown}
 	}
 	if !hmac.Equal(n.Code, n.code(h.key, account)) {
-		return nil, false, &RefusedError{Reason: Forged, Outcome: NotRun}
+		return nil, false, &RefusedError{Reason: Forged, Outcome: Unknown}
 	}
 	if r := h.records[t]; r != nil {
 		return r, false, r.refusal(hash)
@@ -173,7 +173,7 @@
 		return nil, false, &RefusedError{Reason: Sealed, Outcome: NotRun}
 	}
 	if len(h.records) >= h.most {
-		return nil, false, &RefusedError{Reason: Full, Outcome: NotRun}
+		return nil, false, &RefusedError{Reason: Full, Outcome: Unknown}
 	}
 	r := &Record{Token: t, Account: account, Hash: hash, Answer: NewAnswer(), issued: issued}
 	h.records[t] = r
