--- a/host/duties.go
+++ b/host/duties.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"mulberrydyke/clock"
 	"mulberrydyke/member"
 	"mulberrydyke/peer"
 	"mulberrydyke/placement"
@@ -51,7 +52,7 @@
 	for ctx.Err() == nil {
 		h.takeRoles(ctx)
 		h.sendBeats(ctx, nil)
-		pause(ctx, h.fleet.interval())
+		clock.Pause(ctx, h.fleet.interval())
 	}
 	h.lists.setReader(ctx, false)
 }
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 
 	"mulberrydyke/admin"
 	"mulberrydyke/audit"
+	"mulberrydyke/clock"
 	"mulberrydyke/entry"
 	"mulberrydyke/job"
 	"mulberrydyke/member"
@@ -264,7 +265,7 @@
 	h.fleet.setLeaving()
 	h.beatAll(ctx)
 	h.local.Keep(h.isScheduler)
-	pause(ctx, lameTime)
+	clock.Pause(ctx, lameTime)
 	h.entry.Stop()
 	err := h.callers.Stop(ctx)
 	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), retireTime)
@@ -308,15 +309,6 @@
 	return append(near, far...)
 }
 
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // LiveHosts returns how many hosts of the own domain are there, this one
 // included.
 func (h *Host) LiveHosts() int { return len(h.fleet.Live(h.settings.Domain)) }
--- a/load/play.go
+++ b/load/play.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"mulberrydyke/clock"
 )
 
 // Sender sends one arrival and returns what came of it.
@@ -19,7 +21,7 @@
 	started := time.Now()
 	var wait sync.WaitGroup
 	for i, a := range arrivals {
-		pause(ctx, time.Until(started.Add(a.At)))
+		clock.Pause(ctx, time.Until(started.Add(a.At)))
 		wait.Go(func() { results[i] = send(ctx, a) })
 	}
 	stop := time.AfterFunc(rest, cancel)
@@ -27,15 +29,3 @@
 	wait.Wait()
 	return results
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	if span <= 0 {
-		return
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/placement/client.go
+++ b/placement/client.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"mulberrydyke/clock"
 	"mulberrydyke/member"
 	"mulberrydyke/peer"
 	"mulberrydyke/plan"
@@ -119,7 +120,7 @@
 		if ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
-		wait(ctx, movedPause)
+		clock.Pause(ctx, movedPause)
 	}
 	if id.Domain != c.fleet.Self().Domain {
 		return nil, &RefusedError{Pool: id, Reason: pool.NoUpstream, RetryAfter: time.Second}
@@ -322,12 +323,3 @@
 	}
 	wait.Wait()
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/relay/peer.go
+++ b/relay/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"mulberrydyke/clock"
 	"mulberrydyke/member"
 	"mulberrydyke/peer"
 	"mulberrydyke/plan"
@@ -137,7 +138,7 @@
 		if busy == 0 {
 			return
 		}
-		pause(ctx, busyPoll)
+		clock.Pause(ctx, busyPoll)
 	}
 }
 
--- a/relay/use.go
+++ b/relay/use.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"mulberrydyke/clock"
 	"mulberrydyke/job"
 	"mulberrydyke/member"
 	"mulberrydyke/peer"
@@ -207,7 +208,7 @@
 		if ctx.Err() != nil {
 			return refusal.New(refusal.CallerGone, ctx.Err().Error())
 		}
-		pause(ctx, reachPause)
+		clock.Pause(ctx, reachPause)
 	}
 	return errGone
 }
@@ -276,12 +277,3 @@
 	e := refusal.Of(err)
 	return peer.Refusal{Code: string(e.Code), Outcome: e.Outcome, Message: e.Message, RetryAfter: e.RetryAfter}
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulberrydyke/clock"
 	"mulberrydyke/job"
 	"mulberrydyke/placement"
 	"mulberrydyke/plan"
@@ -117,7 +118,7 @@
 			return a.report, a.refusalOf(err)
 		}
 		a.writer.Reset()
-		pause(ctx, retryPause)
+		clock.Pause(ctx, retryPause)
 	}
 }
 
@@ -322,12 +323,3 @@
 	within := min(max(h.Entitlement.Priority, 0), engineTier-1)
 	return int(plan.LowestTier-h.Plan.Tier)*engineTier + within
 }
-
-func pause(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -38,7 +37,7 @@
 
 // Serve listens on address and returns the address and a clean-up function.
 func (e *Engine) Serve(address string) (string, func(), error) {
-	handler, err := web.Handler([]rest.Route{
+	return web.Serve(address, []rest.Route{
 		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: e.complete},
 		{Method: http.MethodPost, Path: "/v1/completions", Handler: e.complete},
 		{Method: http.MethodGet, Path: "/v1/runs/:id", Handler: e.resume},
@@ -47,15 +46,7 @@
 		{Method: http.MethodGet, Path: "/ledger", Handler: e.getLedger},
 		{Method: http.MethodPut, Path: "/faults", Handler: e.putFaults},
 		{Method: http.MethodPut, Path: "/crash", Handler: func(http.ResponseWriter, *http.Request) { e.Crash() }},
-	}, http.NotFound)
-	if err != nil {
-		return "", nil, err
-	}
-	server, err := web.Listen(address, handler, connections, nil)
-	if err != nil {
-		return "", nil, err
-	}
-	return server.Address(), server.Close, nil
+	}, http.NotFound, connections)
 }
 
 // abort closes the connection without an answer.
@@ -66,8 +57,7 @@
 		abort()
 	}
 	var request engineRequest
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !web.ReadJSON(w, r, &request) {
 		return
 	}
 	w.Header().Set("X-Instance", e.Instance())
@@ -190,9 +180,7 @@
 
 func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f EngineFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	if web.ReadJSON(w, r, &f) {
+		e.SetFaults(f)
 	}
-	e.SetFaults(f)
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -111,19 +111,11 @@
 
 // Serve listens on address and returns the address and a clean-up function.
 func (p *Platform) Serve(address string) (string, func(), error) {
-	handler, err := web.Handler([]rest.Route{
+	return web.Serve(address, []rest.Route{
 		{Method: http.MethodGet, Path: "/v1/values/:kind", Handler: p.get},
 		{Method: http.MethodPut, Path: "/v1/values/:kind", Handler: p.put},
 		{Method: http.MethodPut, Path: "/faults", Handler: p.putFaults},
-	}, http.NotFound)
-	if err != nil {
-		return "", nil, err
-	}
-	server, err := web.Listen(address, handler, connections, nil)
-	if err != nil {
-		return "", nil, err
-	}
-	return server.Address(), server.Close, nil
+	}, http.NotFound, connections)
 }
 
 func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
@@ -178,9 +170,7 @@
 
 func (p *Platform) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f PlatformFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	if web.ReadJSON(w, r, &f) {
+		p.SetFaults(f)
 	}
-	p.SetFaults(f)
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"sync"
@@ -52,18 +51,10 @@
 
 // Serve listens on address and returns the address and a clean-up function.
 func (s *Service) Serve(address string) (string, func(), error) {
-	handler, err := web.Handler([]rest.Route{
+	return web.Serve(address, []rest.Route{
 		{Method: http.MethodGet, Path: "/ledger", Handler: s.getLedger},
 		{Method: http.MethodPut, Path: "/faults", Handler: s.putFaults},
-	}, s.call)
-	if err != nil {
-		return "", nil, err
-	}
-	server, err := web.Listen(address, handler, connections, nil)
-	if err != nil {
-		return "", nil, err
-	}
-	return server.Address(), server.Close, nil
+	}, s.call, connections)
 }
 
 // call runs any method on any path and answers with what it got.
@@ -100,9 +91,7 @@
 
 func (s *Service) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f ServiceFaults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+	if web.ReadJSON(w, r, &f) {
+		s.SetFaults(f)
 	}
-	s.SetFaults(f)
 }
--- a/web/web.go
+++ b/web/web.go
@@ -99,6 +99,20 @@
 	_ = s.http.Serve(s.listener)
 }
 
+// Serve builds a handler from routes and serves it on address over plain HTTP.
+// It returns the address that it listens on and the clean-up function.
+func Serve(address string, routes []rest.Route, notFound http.HandlerFunc, connections int) (string, func(), error) {
+	handler, err := Handler(routes, notFound)
+	if err != nil {
+		return "", nil, err
+	}
+	s, err := Listen(address, handler, connections, nil)
+	if err != nil {
+		return "", nil, err
+	}
+	return s.Address(), s.Close, nil
+}
+
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
@@ -127,3 +141,13 @@
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// ReadJSON reads a request's body into v. Where that fails it answers with
+// status 400 and returns false.
+func ReadJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(r.Body).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
