Ask anew before dispatching after a pause; follow successors; finish answers at them

Reading relay: a caller whose answer was being read from a home that stopped got 'unknown' in the middle, and a second planned stop lost the first host's answers. Change: when heartbeats were held up by more than a second, requests wait until peers and platform were asked anew, and the upstream is checked against the lists in force before dispatch; the rest of an answer is read at the successor; rows of successors are followed by incarnation. Conclusion: a late waker may hold grants but acts on fresh lists.

--- a/fault/lists_test.go
+++ b/fault/lists_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -282,3 +283,57 @@
 	}
 	return n
 }
+
+// scheduler returns the host that decides for the models' pool of the first
+// domain.
+func (f *fleet) scheduler() *process {
+	for _, h := range f.hosts {
+		if s, ok := f.status(h); ok {
+			for _, p := range s.Pools {
+				if p.Pool.Kind == plan.Engine {
+					return h
+				}
+			}
+		}
+	}
+	f.t.Fatal("no host runs the pool's scheduler")
+	return nil
+}
+
+// TestPausedHostWakesAfterAnUpstreamLeft pauses a host whose requests wait, lets
+// them be granted and the upstream leave meanwhile, and wakes the host. It still
+// believes what it knew, but must not send new work to the upstream.
+func TestPausedHostWakesAfterAnUpstreamLeft(t *testing.T) {
+	const leaveBound = 3 * time.Second
+	o := defaultOptions()
+	o.engines, o.engine.Batch, o.engine.Step = 1, 2, 50*time.Millisecond
+	f := newFleet(t, o)
+	var wait sync.WaitGroup
+	send := func(h *process, c call) { wait.Go(func() { f.send(h, c) }) }
+	send(f.hosts[0], draft(1000, 30))
+	f.awaitRun("draft 1000")
+	scheduler := f.scheduler()
+	paused := f.hosts[0]
+	if paused == scheduler {
+		paused = f.hosts[1]
+	}
+	send(scheduler, draft(1001, 30))
+	f.awaitRun("draft 1001")
+	for i := range 2 {
+		send(paused, draft(i, 10))
+	}
+	time.Sleep(200 * time.Millisecond)
+	paused.signal(syscall.SIGSTOP)
+	time.Sleep(1500 * time.Millisecond)
+	f.upstreams[0].State = plan.Leaving
+	f.publishUpstreams()
+	published := time.Now()
+	time.Sleep(leaveBound + time.Second)
+	paused.signal(syscall.SIGCONT)
+	wait.Wait()
+	for _, e := range f.engines[0].Ledger().Entries() {
+		if late := e.Begun.Sub(published); late > leaveBound {
+			t.Errorf("new work %s after the upstream was listed as leaving", late)
+		}
+	}
+}
--- a/fault/ticket_test.go
+++ b/fault/ticket_test.go
@@ -160,3 +160,45 @@
 		t.Errorf("first %+v, second %+v, %d runs", first, second, f.runs(c.prompt))
 	}
 }
+
+// TestPlannedStopOfARemoteHome stops a ticket's home while callers read the
+// answer through other hosts. They must get the whole answer.
+func TestPlannedStopOfARemoteHome(t *testing.T) {
+	o := defaultOptions()
+	o.engine.Step = 50 * time.Millisecond
+	f := newFleet(t, o)
+	var wait sync.WaitGroup
+	for i := range 6 {
+		c := commission(i)
+		c.output = 20 + 10*i
+		c.ticket = f.ticket(f.hosts[0], c)
+		wait.Go(func() { checkWhole(t, f.send(f.hosts[1+i%2], c), c) })
+	}
+	f.awaitRun("commission 5")
+	f.hosts[0].signal(syscall.SIGTERM)
+	wait.Wait()
+	if err := <-f.hosts[0].exited; err != nil {
+		t.Errorf("exit: %v\n%s", err, f.hosts[0].log)
+	}
+}
+
+// TestAnswersPassThroughSuccessors stops a ticket's home and then its
+// successor. The last host must still hold the answer.
+func TestAnswersPassThroughSuccessors(t *testing.T) {
+	f := newFleet(t, defaultOptions())
+	c := commission(1)
+	c.ticket = f.ticket(f.hosts[0], c)
+	want := content(t, f.send(f.hosts[0], c))
+	for _, h := range f.hosts[:2] {
+		h.signal(syscall.SIGTERM)
+		if err := <-h.exited; err != nil {
+			t.Fatalf("exit: %v\n%s", err, h.log)
+		}
+	}
+	if diff := cmp.Diff(want, content(t, f.send(f.hosts[2], c))); diff != "" {
+		t.Errorf("answer at the last host (-want +got):\n%s", diff)
+	}
+	if n := f.runs(c.prompt); n != 1 {
+		t.Errorf("the commission ran %d times", n)
+	}
+}
--- a/host/duties.go
+++ b/host/duties.go
@@ -16,6 +16,11 @@
 
 const (
 	beatTimeout = time.Second
+	// pauseBound is how late heartbeats may be before the host takes what it
+	// believes for stale.
+	pauseBound = time.Second
+	freshWait  = 5 * time.Second
+	freshPoll  = 10 * time.Millisecond
 	// loadEvery is the time between two reads of load reports.
 	loadEvery = 100 * time.Millisecond
 	// confirmEvery is how often a scheduler asks the other hosts which of its
@@ -48,8 +53,15 @@
 // up the roles that follow from who is there.
 func (h *Host) beats(ctx context.Context) {
 	h.askAll(ctx)
+	h.noteTurn()
 	h.lists.started.Store(true)
 	for ctx.Err() == nil {
+		if !h.isFresh(time.Now()) {
+			h.log.Warn("the process was stopped for a while; asking peers and platform anew")
+			h.metrics.Count("mulberrydyke_pauses_total")
+			h.askAll(ctx)
+		}
+		h.noteTurn()
 		h.takeRoles(ctx)
 		h.sendBeats(ctx, nil)
 		clock.Pause(ctx, h.fleet.interval())
@@ -57,6 +69,27 @@
 	h.lists.setReader(ctx, false)
 }
 
+func (h *Host) noteTurn() {
+	now := time.Now()
+	h.turn.Store(&now)
+}
+
+// isFresh says whether what this host believes is recent: its heartbeats have
+// not been held up for long.
+func (h *Host) isFresh(now time.Time) bool {
+	turn := h.turn.Load()
+	return turn != nil && now.Sub(*turn) < h.fleet.interval()+pauseBound
+}
+
+// awaitFresh waits until what this host believes is recent, at most for a
+// bounded time: a host that was cut off from everybody goes on serving.
+func (h *Host) awaitFresh(ctx context.Context) {
+	deadline := time.Now().Add(freshWait)
+	for now := time.Now(); !h.isFresh(now) && now.Before(deadline) && ctx.Err() == nil; now = time.Now() {
+		clock.Pause(ctx, freshPoll)
+	}
+}
+
 // takeRoles settles whether this host reads the platform and which schedulers
 // it runs.
 func (h *Host) takeRoles(ctx context.Context) {
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -18,7 +18,7 @@
 	mu        sync.Mutex
 	table     *member.Table
 	leaving   bool
-	successor plan.HostID
+	successor member.Former
 	// busy marks addresses whose last heartbeat has not been answered yet.
 	busy map[string]bool
 	turn int
@@ -46,7 +46,7 @@
 }
 
 // Successor returns who holds the estate of an incarnation that left.
-func (f *fleet) Successor(of member.Former) (plan.HostID, bool) {
+func (f *fleet) Successor(of member.Former) (member.Former, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.table.Successor(of)
@@ -70,10 +70,10 @@
 	f.table.SetLeaving()
 }
 
-func (f *fleet) setSuccessor(id plan.HostID) {
+func (f *fleet) setSuccessor(heir member.Former) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.successor = id
+	f.successor = heir
 }
 
 func (f *fleet) listed(list *plan.Hosts) {
--- a/host/host.go
+++ b/host/host.go
@@ -66,7 +66,9 @@
 	callers, operators *web.Server
 	peers              *peer.Server
 
-	leaving  atomic.Bool
+	leaving atomic.Bool
+	// turn is when the heartbeats' duty last had its turn.
+	turn     atomic.Pointer[time.Time]
 	cancel   context.CancelFunc
 	duties   sync.WaitGroup
 	cleanups []func()
@@ -166,7 +168,7 @@
 	bounds := h.settings.Bounds
 	run := runner.New(runner.Options{
 		Host: h.settings.ID, Incarnation: uint64(incarnation), Domain: h.settings.Domain, Domains: h.otherDomains,
-		Placer: h.placer, Upstreams: h.set, State: h.State,
+		Placer: h.placer, Upstreams: h.set, State: h.State, AwaitFresh: h.awaitFresh,
 		AnswerBytes: bounds.AnswerBytes, RetryPart: bounds.RetryPart,
 	})
 	desk, cleanup := relay.NewDesk(relay.Options{
@@ -271,7 +273,7 @@
 	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), retireTime)
 	defer cancel()
 	successor := h.desk.Retire(ctx)
-	h.fleet.setSuccessor(successor.ID)
+	h.fleet.setSuccessor(member.Former{Host: successor.ID, Incarnation: successor.Incarnation})
 	h.beatAll(wait)
 	h.log.Info("planned stop ended", "successor", string(successor.ID))
 	return err
--- a/member/member.go
+++ b/member/member.go
@@ -58,7 +58,7 @@
 	// Leaving is set once a planned stop has begun.
 	Leaving bool `json:"leaving"`
 	// Successor holds the host's tickets after a planned stop.
-	Successor plan.HostID   `json:"successor"`
+	Successor Former        `json:"successor"`
 	Versions  plan.Versions `json:"versions"`
 }
 
@@ -66,7 +66,7 @@
 type Host struct {
 	Self      Self          `json:"self"`
 	Condition Condition     `json:"condition"`
-	Successor plan.HostID   `json:"successor,omitempty"`
+	Successor Former        `json:"successor"`
 	Versions  plan.Versions `json:"versions"`
 	// Listed says whether the platform lists the host as live.
 	Listed bool `json:"listed"`
@@ -91,7 +91,7 @@
 	// absent holds hosts of other domains that their domain misses.
 	absent map[plan.HostID]time.Time
 	// former gives the successor of each incarnation that left.
-	former map[Former]plan.HostID
+	former map[Former]Former
 }
 
 // Former names an incarnation that is no more.
@@ -100,7 +100,12 @@
 	Incarnation Incarnation
 }
 
-const formerMost = 4096
+const (
+	// formerMost bounds the incarnations that are remembered.
+	formerMost = 4096
+	// successorsMost bounds a row of successors.
+	successorsMost = 64
+)
 
 // NewTable returns a table that knows only its own host.
 func NewTable(self Self) *Table {
@@ -109,7 +114,7 @@
 		hosts:    map[plan.HostID]*Host{},
 		byDomain: map[plan.DomainID][]*Host{},
 		absent:   map[plan.HostID]time.Time{},
-		former:   map[Former]plan.HostID{},
+		former:   map[Former]Former{},
 	}
 }
 
@@ -175,7 +180,7 @@
 	old, domain := h.Self.Incarnation, h.Self.Domain
 	restarted = old != 0 && old != b.Self.Incarnation
 	if restarted {
-		h.Successor = ""
+		h.Successor = Former{}
 		h.answered = time.Time{}
 	}
 	if answer {
@@ -186,7 +191,7 @@
 	if h.listedPeer != "" {
 		h.Self.Peer = h.listedPeer
 	}
-	if b.Successor != "" {
+	if b.Successor.Host != "" {
 		h.Successor = b.Successor
 		t.rememberFormer(Former{Host: b.Self.ID, Incarnation: b.Self.Incarnation}, b.Successor)
 	}
@@ -197,16 +202,24 @@
 	return Former{Host: b.Self.ID, Incarnation: old}, restarted
 }
 
-func (t *Table) rememberFormer(f Former, successor plan.HostID) {
+func (t *Table) rememberFormer(f, successor Former) {
 	if len(t.former) < formerMost {
 		t.former[f] = successor
 	}
 }
 
-// Successor returns who holds the tickets of an incarnation that left.
-func (t *Table) Successor(f Former) (plan.HostID, bool) {
-	id, ok := t.former[f]
-	return id, ok
+// Successor returns who holds the tickets of an incarnation that left: the last
+// of a row of successors.
+func (t *Table) Successor(f Former) (Former, bool) {
+	heir, ok := t.former[f]
+	for range successorsMost {
+		next, more := t.former[heir]
+		if !more {
+			break
+		}
+		heir = next
+	}
+	return heir, ok
 }
 
 // Missing adopts what another domain says of its own hosts.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -62,13 +62,14 @@
 
 func TestRestartIsNoticed(t *testing.T) {
 	table := NewTable(testSelf("a", 1))
-	table.Seen(start, Beat{Self: testSelf("b", 1), Successor: "c"}, true)
+	table.Seen(start, Beat{Self: testSelf("b", 1), Successor: Former{Host: "c", Incarnation: 5}}, true)
+	table.Seen(start, Beat{Self: testSelf("c", 5), Successor: Former{Host: "d", Incarnation: 6}}, true)
 	gone, restarted := table.Seen(start, Beat{Self: testSelf("b", 2)}, true)
 	if !restarted || gone != (Former{Host: "b", Incarnation: 1}) {
 		t.Errorf("got %v, %t", gone, restarted)
 	}
-	if heir, ok := table.Successor(Former{Host: "b", Incarnation: 1}); !ok || heir != "c" {
-		t.Errorf("successor of the former incarnation: %s, %t", heir, ok)
+	if heir, ok := table.Successor(Former{Host: "b", Incarnation: 1}); !ok || heir != (Former{Host: "d", Incarnation: 6}) {
+		t.Errorf("last successor of the former incarnation: %v, %t", heir, ok)
 	}
 }
 
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -31,7 +31,7 @@
 	// Find returns a host by name, and false where it is not known.
 	Find(id plan.HostID) (member.Host, bool)
 	// Successor returns who holds the estate of an incarnation that left.
-	Successor(member.Former) (plan.HostID, bool)
+	Successor(member.Former) (member.Former, bool)
 	Call(ctx context.Context, host member.Self, method string, args, reply any) error
 }
 
--- a/relay/use.go
+++ b/relay/use.go
@@ -108,8 +108,8 @@
 			return err
 		}
 	}
-	if heir, ok := d.fleet.Successor(name.Home); ok && !counted.began {
-		err := d.useHeir(ctx, heir, t, j, arrived, counted)
+	if heir, ok := d.fleet.Successor(name.Home); ok {
+		err := d.useHeir(ctx, heir, t, j, arrived, &restOutput{countedOutput: counted, skip: counted.written})
 		if !errors.Is(err, errGone) {
 			return err
 		}
@@ -121,10 +121,43 @@
 	return refusal.New(refusal.HomeGone, "the home of the ticket can't be reached")
 }
 
-// countedOutput remembers whether anything has reached the caller.
+// countedOutput remembers what has reached the caller.
 type countedOutput struct {
 	job.Output
-	began bool
+	began   bool
+	written int
+}
+
+// Write passes bytes on.
+func (c *countedOutput) Write(p []byte) (int, error) {
+	n, err := c.Output.Write(p)
+	c.written += n
+	return n, err
+}
+
+// restOutput passes on what follows the bytes that the caller already has. The
+// whole answer is written to it.
+type restOutput struct {
+	*countedOutput
+	skip int
+}
+
+// Begin starts the answer unless the caller already has its head.
+func (r *restOutput) Begin(h ticket.Head) {
+	if !r.began {
+		r.countedOutput.Begin(h)
+	}
+}
+
+// Write passes on the bytes that the caller doesn't have.
+func (r *restOutput) Write(p []byte) (int, error) {
+	known := min(r.skip, len(p))
+	r.skip -= known
+	if known == len(p) {
+		return known, nil
+	}
+	n, err := r.countedOutput.Write(p[known:])
+	return known + n, err
 }
 
 // Begin starts the answer.
@@ -165,12 +198,12 @@
 }
 
 // useHeir asks who inherited from a ticket's home.
-func (d *Desk) useHeir(ctx context.Context, heir plan.HostID, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
-	if heir == d.fleet.Self().ID {
+func (d *Desk) useHeir(ctx context.Context, heir member.Former, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+	if heir == formerOf(d.fleet.Self()) {
 		return d.useEstate(t, j, out)
 	}
-	host, ok := d.fleet.Find(heir)
-	if !ok {
+	host, ok := d.fleet.Find(heir.Host)
+	if !ok || host.Self.Incarnation != heir.Incarnation {
 		return errGone
 	}
 	return d.useAt(ctx, host.Self, t, j, arrived, out)
@@ -226,10 +259,10 @@
 		return outcome
 	}
 	if heir, ok := d.fleet.Successor(name.Backup); ok {
-		if heir == d.fleet.Self().ID {
+		if heir == formerOf(d.fleet.Self()) {
 			return d.attestHere(t)
 		}
-		return d.attestAt(ctx, heir, t)
+		return d.attestAt(ctx, heir.Host, t)
 	}
 	return ticket.Unknown
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -50,6 +50,7 @@
 	placer    *placement.Client
 	upstreams *upstream.Set
 	state     func() *plan.State
+	fresh     func(context.Context)
 	domain    plan.DomainID
 	domains   func() []plan.DomainID
 	budget    *Budget
@@ -68,6 +69,9 @@
 	Placer    *placement.Client
 	Upstreams *upstream.Set
 	State     func() *plan.State
+	// AwaitFresh waits, after the process was stopped for a while, until State
+	// is recent again. It may be nil.
+	AwaitFresh func(context.Context)
 	// AnswerBytes is the largest answer.
 	AnswerBytes int64
 	// RetryPart is the part of fresh requests that retries may add.
@@ -76,7 +80,11 @@
 
 // New returns a runner.
 func New(o Options) *Runner {
+	if o.AwaitFresh == nil {
+		o.AwaitFresh = func(context.Context) {}
+	}
 	return &Runner{
+		fresh:  o.AwaitFresh,
 		self:   pool.RequestID{Host: o.Host, Incarnation: o.Incarnation},
 		placer: o.Placer, upstreams: o.Upstreams, state: o.State,
 		domain: o.Domain, domains: o.Domains,
@@ -131,10 +139,11 @@
 	a.report.Tries++
 	a.report.Upstream, a.report.Pool = lease.Upstream(), lease.Pool()
 	a.report.Queued = time.Since(a.arrived)
+	a.r.fresh(ctx)
 	client, ok := a.r.upstreams.Client(lease.Upstream())
-	if !ok {
+	if !ok || !a.takesWork(lease.Upstream()) {
 		lease.End(pool.Ended{Outcome: pool.Unused})
-		return &upstream.Error{Upstream: lease.Upstream(), Fault: upstream.NotSent, Reason: "no longer listed"}
+		return &upstream.Error{Upstream: lease.Upstream(), Fault: upstream.NotSent, Reason: "takes no new work"}
 	}
 	if err := a.entitled(); err != nil {
 		lease.End(pool.Ended{Outcome: pool.Unused})
@@ -153,6 +162,16 @@
 	return err
 }
 
+// takesWork says whether the lists in force now have the upstream as live.
+func (a *attempt) takesWork(id plan.UpstreamID) bool {
+	for _, u := range a.r.state().Upstreams.Upstreams {
+		if u.ID == id {
+			return u.State == plan.Live
+		}
+	}
+	return false
+}
+
 // entitled checks the job against the lists in force now, which may have
 // changed while it was queued.
 func (a *attempt) entitled() error {
