Trim an overloaded middle tier after the tiers below it

Cause: at twice the capacity tier 2 was late by up to 21 s and 22.9% of all tokens were late: its excess could not be refused while a request of tier 5 was queued, and tier 5 always had one. Change: where a tier is further behind than twice its target, the tiers below it are refused first, as the order demands, and then its own excess; floors go on. Conclusion: the order holds, and no tier's queue outgrows its target by far.

--- a/fault/matrix_test.go
+++ b/fault/matrix_test.go
@@ -164,11 +164,11 @@
 
 // fillEngines sends requests that take all places for a while.
 func (c *cell) fillEngines() {
-	const places = 4
-	for i := range places {
+	const requests = 8
+	for i := range requests {
 		go c.send(c.hosts[i%3], draft(2000+i, 60))
 	}
-	c.eventually(5*time.Second, "the engines are full", func() bool { return c.running() >= places-1 })
+	c.eventually(10*time.Second, "the engines are busy", func() bool { return c.running() >= len(c.engines) })
 }
 
 // try sends a request to a host and keeps what the caller gets of commissions.
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -368,18 +368,24 @@
 	q.patience += time.Duration(smoothing * float64(target-q.patience))
 }
 
-// hopelessPart is the part of the target that a wait in the queue may take; the
-// engine needs the rest.
-const hopelessPart = 0.8
+const (
+	// hopelessPart is the part of the target that a wait in the queue may
+	// take; the engine needs the rest.
+	hopelessPart = 0.8
+	// overrunPart is the multiple of the target above which a tier is far
+	// behind.
+	overrunPart = 2.0
+)
 
-// hopeless says whether a request at the end of the queue would get its first
-// token late at the tier's pace, which is at least the given one.
-func (q *tierQueue) hopeless(least float64) bool {
+// hopeless says whether a request at the end of the queue would wait longer than
+// the given part of its target at the tier's pace, which is at least the given
+// one.
+func (q *tierQueue) hopeless(least, part float64) bool {
 	if q.count < 2 {
 		return false
 	}
 	wait := time.Duration(float64(q.queued) / max(q.pace, least) * float64(time.Second))
-	return float64(wait) > hopelessPart*float64(q.patience)
+	return float64(wait) > part*float64(q.patience)
 }
 
 // prune forgets accounts that have nothing queued and are not ahead of the
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -344,3 +344,47 @@
 		t.Errorf("%d runs on the books, want the one that is held", len(s.runs))
 	}
 }
+
+// TestOverrunTierIsTrimmedAfterLowerOnes leaves a fifth of the pool to a middle
+// tier that wants all of it, with a patient lower tier queued. The lower tier
+// must be refused, and then the middle tier's excess, so that its queue is not
+// longer than it can serve in about its target.
+func TestOverrunTierIsTrimmedAfterLowerOnes(t *testing.T) {
+	const step = 50 * time.Millisecond
+	s := newTestScheduler(2)
+	running := fillSlots(s, start)
+	refused := map[plan.Tier]int{}
+	for i := range uint64(600) {
+		now := start.Add(time.Duration(i) * step)
+		for _, tier := range []plan.Tier{1, 2, 5} {
+			if tier == 1 && i%5 == 0 {
+				continue
+			}
+			a := testAsk(10*i+uint64(tier), tier, "a")
+			a.Arrived, a.MaxOutput = now, 100
+			if tier == 5 {
+				a.Target.FirstToken = plan.Duration(time.Hour)
+			}
+			for _, c := range ask(s, now, a) {
+				if c.Kind == Refuse {
+					refused[plan.Tier(c.ID.Sequence%10)]++
+				}
+			}
+		}
+		commands := s.Update(now, &Ended{ID: running[0], Outcome: Done, Output: 100})
+		running = running[1:]
+		for _, g := range sequences(commands, Grant) {
+			running = append(running, RequestID{Host: "h", Incarnation: 1, Sequence: g})
+		}
+		s.Update(now, &Ticked{})
+	}
+	// The tier is served four times a second, and may be twice its target of a
+	// second behind.
+	const most = 2*4 + 2
+	if n := s.tiers[2].count; n > most {
+		t.Errorf("%d requests of the overloaded tier are queued", n)
+	}
+	if refused[1] > 0 || refused[2] == 0 || refused[5] == 0 {
+		t.Errorf("refused by tier: %v", refused)
+	}
+}
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -17,7 +17,7 @@
 			return
 		}
 		over := s.queuedWork() > bound && !s.onlyOne(q)
-		if !over && !q.hopeless(s.leastPace(q, bound)) {
+		if !over && !q.hopeless(s.leastPace(q, bound), hopelessPart) && !s.overrun(q, bound) {
 			return
 		}
 		it := q.victim()
@@ -26,6 +26,18 @@
 	}
 }
 
+// overrun says whether a tier above the lowest queued one is far behind its
+// targets. Then there is no room for lower tiers but their floors, and they are
+// refused first, so that the tier itself may be trimmed.
+func (s *Scheduler) overrun(lowest *tierQueue, bound Work) bool {
+	for _, q := range s.tiers[1:lowest.tier] {
+		if q.hopeless(s.leastPace(q, bound), overrunPart) {
+			return true
+		}
+	}
+	return false
+}
+
 // leastPace is the pace that a tier is sure of: the whole pool's where nothing
 // higher is queued, else its floor's.
 func (s *Scheduler) leastPace(q *tierQueue, bound Work) float64 {
