--- a/entry/account.go
+++ b/entry/account.go
@@ -34,8 +34,8 @@
 	Tickets []ticket.Token `json:"tickets"`
 }
 
-// tickets hands out tickets.
-func (s *Server) tickets(c *call) error {
+// issueTickets hands out tickets.
+func (s *Server) issueTickets(c *call) error {
 	count := 1
 	if text := c.r.URL.Query().Get("count"); text != "" {
 		n, err := strconv.Atoi(text)
@@ -46,7 +46,7 @@
 	}
 	var out ticketList
 	for range count {
-		token, err := s.desk.Mint(c.holder.Account.ID)
+		token, err := s.tickets.Mint(c.holder.Account.ID)
 		if err != nil {
 			return err
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,7 +46,7 @@
 	state    func() *plan.State
 	started  func() bool
 	runner   *runner.Runner
-	desk     *relay.Desk
+	tickets  *relay.Relay
 	bounds   setting.Bounds
 	metrics  *metric.Set
 	trail    *audit.Trail
@@ -61,7 +61,7 @@
 	// found when the host started.
 	Started func() bool
 	Runner  *runner.Runner
-	Desk    *relay.Desk
+	Tickets *relay.Relay
 	Bounds  setting.Bounds
 	Metrics *metric.Set
 	Trail   *audit.Trail
@@ -70,7 +70,7 @@
 // NewServer returns a server.
 func NewServer(o Options) *Server {
 	return &Server{
-		state: o.State, started: o.Started, runner: o.Runner, desk: o.Desk,
+		state: o.State, started: o.Started, runner: o.Runner, tickets: o.Tickets,
 		bounds: o.Bounds, metrics: o.Metrics, trail: o.Trail,
 	}
 }
@@ -87,7 +87,7 @@
 		{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: s.guarded(s.complete)},
 		{Method: http.MethodPost, Path: "/v1/completions", Handler: s.guarded(s.complete)},
 		{Method: http.MethodGet, Path: "/v1/models", Handler: s.guarded(s.models)},
-		{Method: http.MethodPost, Path: "/v1/tickets", Handler: s.guarded(s.tickets)},
+		{Method: http.MethodPost, Path: "/v1/tickets", Handler: s.guarded(s.issueTickets)},
 	}
 	path := "/v1/services/:service"
 	for depth := range serviceDepth {
@@ -279,13 +279,13 @@
 		return out.end(err)
 	}
 	c.asked = true
-	err := s.desk.Use(ctx, token, j, c.arrived, out)
+	err := s.tickets.Use(ctx, token, j, c.arrived, out)
 	return out.end(s.withTicket(j, err))
 }
 
 // ticketRequired refuses a job that needs a ticket and hands one out.
 func (s *Server) ticketRequired(j *job.Job) error {
-	token, err := s.desk.Mint(j.Account)
+	token, err := s.tickets.Mint(j.Account)
 	if err != nil {
 		return err
 	}
@@ -301,7 +301,7 @@
 	}
 	e := *refusal.Of(err)
 	if e.Outcome == ticket.NotRun {
-		if token, err := s.desk.Mint(j.Account); err == nil {
+		if token, err := s.tickets.Mint(j.Account); err == nil {
 			e.Ticket = token
 		}
 	}
--- a/host/duties.go
+++ b/host/duties.go
@@ -36,10 +36,10 @@
 	h.duties.Go(func() { h.suspicions(ctx) })
 }
 
-// askAll asks peers and platform for their lists before the host serves
+// refreshAll asks peers and platform for their lists before the host serves
 // anybody, so that a stale platform can't make it serve under old ones. Peers
 // are asked again once the platform has told who they are.
-func (h *Host) askAll(ctx context.Context) {
+func (h *Host) refreshAll(ctx context.Context) {
 	h.beatAll(ctx)
 	h.lists.fetchNewest(ctx)
 	start, cancel := context.WithTimeout(ctx, startTime)
@@ -52,14 +52,14 @@
 // beats reads the lists once, then exchanges heartbeats and takes up or gives
 // up the roles that follow from who is there.
 func (h *Host) beats(ctx context.Context) {
-	h.askAll(ctx)
+	h.refreshAll(ctx)
 	h.noteTurn()
 	h.lists.started.Store(true)
 	for ctx.Err() == nil {
 		if !h.isFresh(time.Now()) {
 			h.log.Warn("the process was stopped for a while; asking peers and platform anew")
 			h.metrics.Count("mulberrydyke_pauses_total")
-			h.askAll(ctx)
+			h.refreshAll(ctx)
 		}
 		h.noteTurn()
 		h.takeRoles(ctx)
@@ -119,7 +119,7 @@
 func (h *Host) hostGone(gone member.Former) {
 	e := &pool.HostGone{Host: gone.Host, Incarnation: uint64(gone.Incarnation)}
 	h.local.TellAll(e)
-	h.alone.TellAll(e)
+	h.fallback.TellAll(e)
 }
 
 // sendBeats sends a heartbeat to every target without waiting for the answers.
@@ -188,7 +188,7 @@
 			if err != nil || reply.Check() != nil {
 				return
 			}
-			h.local.Accuse(time.Now(), reply.Suspects)
+			h.local.RecordCrashes(time.Now(), reply.Suspects)
 			mu.Lock()
 			defer mu.Unlock()
 			runs = append(runs, reply.Runs...)
@@ -308,20 +308,20 @@
 		select {
 		case <-h.local.Suspicions():
 			h.spread(ctx, h.local.Suspects(time.Now()))
-		case <-h.alone.Suspicions():
-			h.spread(ctx, h.alone.Suspects(time.Now()))
+		case <-h.fallback.Suspicions():
+			h.spread(ctx, h.fallback.Suspects(time.Now()))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// accused takes in what another host knows of crashes, and passes on what is
+// crashesTold takes in what another host knows of crashes, and passes on what is
 // new, so that the news reaches every failure domain.
-func (h *Host) accused(suspects []pool.Suspect) {
+func (h *Host) crashesTold(suspects []pool.Suspect) {
 	now := time.Now()
-	fresh := h.local.Accuse(now, suspects)
-	h.alone.Accuse(now, suspects)
+	fresh := h.local.RecordCrashes(now, suspects)
+	h.fallback.RecordCrashes(now, suspects)
 	if fresh {
 		h.sendBeats(context.Background(), suspects)
 	}
@@ -329,8 +329,8 @@
 
 func (h *Host) spread(ctx context.Context, suspects []pool.Suspect) {
 	now := time.Now()
-	h.local.Accuse(now, suspects)
-	h.alone.Accuse(now, suspects)
+	h.local.RecordCrashes(now, suspects)
+	h.fallback.RecordCrashes(now, suspects)
 	if len(suspects) > 0 {
 		h.sendBeats(ctx, suspects)
 	}
--- a/host/fleet.go
+++ b/host/fleet.go
@@ -45,7 +45,7 @@
 	return f.table.Find(time.Now(), id)
 }
 
-// Successor returns who holds the estate of an incarnation that left.
+// Successor returns who holds the handover of an incarnation that left.
 func (f *fleet) Successor(of member.Former) (member.Former, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -70,10 +70,10 @@
 	f.table.SetLeaving()
 }
 
-func (f *fleet) setSuccessor(heir member.Former) {
+func (f *fleet) setSuccessor(successor member.Former) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.successor = heir
+	f.successor = successor
 }
 
 func (f *fleet) listed(list *plan.Hosts) {
--- a/host/host.go
+++ b/host/host.go
@@ -38,9 +38,9 @@
 	trailSize = 2048
 	// operatorConnections bounds the connections of operators.
 	operatorConnections = 64
-	// lameTime is how long a stopping host still takes requests, so that the
+	// drainDelay is how long a stopping host still takes requests, so that the
 	// balancer can notice that it is not ready.
-	lameTime = time.Second
+	drainDelay = time.Second
 	// retireTime bounds the handing over of tickets.
 	retireTime = 10 * time.Second
 	ticketKey  = 32
@@ -54,10 +54,10 @@
 	lists    *lists
 	fleet    *fleet
 	local    *placement.Server
-	alone    *placement.Server
+	fallback *placement.Server
 	placer   *placement.Client
 	set      *upstream.Set
-	desk     *relay.Desk
+	tickets  *relay.Relay
 	entry    *entry.Server
 	metrics  *metric.Set
 	trail    *audit.Trail
@@ -140,17 +140,17 @@
 	local, cleanup := placement.NewServer(h.State, whole, h.gather)
 	h.local = local
 	h.cleanups = append(h.cleanups, cleanup)
-	alone, cleanup := placement.NewServer(h.State, h.alonePart, nil)
-	h.alone = alone
+	fallback, cleanup := placement.NewServer(h.State, h.fallbackPart, nil)
+	h.fallback = fallback
 	h.cleanups = append(h.cleanups, cleanup)
-	placer, cleanup := placement.NewClient(h.fleet, local, alone)
+	placer, cleanup := placement.NewClient(h.fleet, local, fallback)
 	h.placer = placer
 	h.cleanups = append(h.cleanups, cleanup)
 }
 
-// alonePart is the part of a pool that this host may use while it can't reach
+// fallbackPart is the part of a pool that this host may use while it can't reach
 // the pool's scheduler: an equal part for each listed host of the domain.
-func (h *Host) alonePart() float64 {
+func (h *Host) fallbackPart() float64 {
 	n := 0
 	for _, x := range h.State().Hosts.Hosts {
 		if x.Domain == h.settings.Domain {
@@ -171,13 +171,13 @@
 		Placer: h.placer, Upstreams: h.set, State: h.State, AwaitFresh: h.awaitFresh,
 		AnswerBytes: bounds.AnswerBytes, RetryPart: bounds.RetryPart,
 	})
-	desk, cleanup := relay.NewDesk(relay.Options{
+	tickets, cleanup := relay.New(relay.Options{
 		Fleet: h.fleet, Run: h.runTicket, Key: key, Life: bounds.TicketLife.Std(), Bytes: bounds.TicketBytes,
 	})
-	h.desk = desk
+	h.tickets = tickets
 	h.cleanups = append(h.cleanups, cleanup)
 	h.entry = entry.NewServer(entry.Options{
-		State: h.State, Started: h.lists.started.Load, Runner: run, Desk: desk, Bounds: bounds, Metrics: h.metrics, Trail: h.trail,
+		State: h.State, Started: h.lists.started.Load, Runner: run, Tickets: tickets, Bounds: bounds, Metrics: h.metrics, Trail: h.trail,
 	})
 	return nil
 }
@@ -267,12 +267,12 @@
 	h.fleet.setLeaving()
 	h.beatAll(ctx)
 	h.local.Keep(h.isScheduler)
-	clock.Pause(ctx, lameTime)
+	clock.Pause(ctx, drainDelay)
 	h.entry.Stop()
 	err := h.callers.Stop(ctx)
 	wait, cancel := context.WithTimeout(context.WithoutCancel(ctx), retireTime)
 	defer cancel()
-	successor := h.desk.Retire(ctx)
+	successor := h.tickets.Retire(ctx)
 	h.fleet.setSuccessor(member.Former{Host: successor.ID, Incarnation: successor.Incarnation})
 	h.beatAll(wait)
 	h.log.Info("planned stop ended", "successor", string(successor.ID))
--- a/host/lists.go
+++ b/host/lists.go
@@ -64,7 +64,7 @@
 		h.fleet.listed(next.Hosts)
 	}
 	h.local.Refresh()
-	h.alone.Refresh()
+	h.fallback.Refresh()
 }
 
 // reject reports a bad list: a count each time, a line when the reason changes.
--- a/host/peers.go
+++ b/host/peers.go
@@ -41,7 +41,7 @@
 	h := p.host
 	h.heard(context.Background(), args.Beat, nil, false)
 	if len(args.Suspects) > 0 {
-		h.accused(args.Suspects)
+		h.crashesTold(args.Suspects)
 	}
 	reply.Beat = h.fleet.beat(h.State().Versions())
 	if args.Beat.Self.Domain != h.settings.Domain {
@@ -117,7 +117,7 @@
 	if err := p.admit(args); err != nil {
 		return err
 	}
-	*reply = p.host.desk.TicketUse(args)
+	*reply = p.host.tickets.TicketUse(args)
 	return nil
 }
 
@@ -126,7 +126,7 @@
 	if err := p.admit(args); err != nil {
 		return err
 	}
-	*reply = p.host.desk.TicketRead(args)
+	*reply = p.host.tickets.TicketRead(args)
 	return nil
 }
 
@@ -135,7 +135,7 @@
 	if err := p.admit(args); err != nil {
 		return err
 	}
-	*reply = p.host.desk.Intent(args)
+	*reply = p.host.tickets.Intent(args)
 	return nil
 }
 
@@ -144,15 +144,15 @@
 	if err := p.admit(args); err != nil {
 		return err
 	}
-	*reply = p.host.desk.Attest(args)
+	*reply = p.host.tickets.Attest(args)
 	return nil
 }
 
-// HandOver takes a part of the estate of a host that is stopping.
+// HandOver takes a part of the handover of a host that is stopping.
 func (p *peerHandler) HandOver(args *peer.HandOverArgs, reply *peer.HandOverReply) error {
 	if err := p.admit(args); err != nil {
 		return err
 	}
-	*reply = p.host.desk.HandOver(args)
+	*reply = p.host.tickets.HandOver(args)
 	return nil
 }
--- a/host/view.go
+++ b/host/view.go
@@ -25,7 +25,7 @@
 // Status describes the host.
 func (v *view) Status() admin.Status {
 	h := v.host
-	home, backup := h.desk.Counts()
+	home, backup := h.tickets.Counts()
 	return admin.Status{
 		Host: h.fleet.Self(), Ready: h.Ready(), Leaving: h.leaving.Load(), Reader: h.isReader(),
 		Versions: h.State().Versions(), Rejected: h.lists.rejections(), Hosts: h.fleet.hosts(),
--- a/member/member.go
+++ b/member/member.go
@@ -211,15 +211,15 @@
 // Successor returns who holds the tickets of an incarnation that left: the last
 // of a row of successors.
 func (t *Table) Successor(f Former) (Former, bool) {
-	heir, ok := t.former[f]
+	successor, ok := t.former[f]
 	for range successorsMost {
-		next, more := t.former[heir]
+		next, more := t.former[successor]
 		if !more {
 			break
 		}
-		heir = next
+		successor = next
 	}
-	return heir, ok
+	return successor, ok
 }
 
 // Missing adopts what another domain says of its own hosts.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -68,8 +68,8 @@
 	if !restarted || gone != (Former{Host: "b", Incarnation: 1}) {
 		t.Errorf("got %v, %t", gone, restarted)
 	}
-	if heir, ok := table.Successor(Former{Host: "b", Incarnation: 1}); !ok || heir != (Former{Host: "d", Incarnation: 6}) {
-		t.Errorf("last successor of the former incarnation: %v, %t", heir, ok)
+	if successor, ok := table.Successor(Former{Host: "b", Incarnation: 1}); !ok || successor != (Former{Host: "d", Incarnation: 6}) {
+		t.Errorf("last successor of the former incarnation: %v, %t", successor, ok)
 	}
 }
 
--- a/peer/ticket.go
+++ b/peer/ticket.go
@@ -8,8 +8,8 @@
 	"mulberrydyke/ticket"
 )
 
-// estateMost bounds the tickets of one part of an estate.
-const estateMost = 1 << 14
+// handoverMost bounds the tickets of one part of a handover.
+const handoverMost = 1 << 14
 
 // Refusal is an error in the form in which hosts pass it on.
 type Refusal struct {
@@ -20,7 +20,7 @@
 	RetryAfter time.Duration
 }
 
-// TicketUseArgs asks a ticket's home, or who inherited from it, to run a job
+// TicketUseArgs asks a ticket's home, or who received from it, to run a job
 // once.
 type TicketUseArgs struct {
 	Ticket ticket.Token
@@ -88,15 +88,15 @@
 	Outcome ticket.Outcome
 }
 
-// HandOverArgs carries a part of the estate of a host that is stopping.
+// HandOverArgs carries a part of the handover of a host that is stopping.
 type HandOverArgs struct {
-	Estate ticket.Estate
+	Handover ticket.Handover
 }
 
 // Check reports a message that is not valid.
 func (a *HandOverArgs) Check() error {
-	n := len(a.Estate.Records) + len(a.Estate.Intents)
-	return checkAll("hand-over", rule{isName(a.Estate.Of.Host), "host"}, rule{n <= estateMost, "tickets"})
+	n := len(a.Handover.Records) + len(a.Handover.Intents)
+	return checkAll("hand-over", rule{isName(a.Handover.Of.Host), "host"}, rule{n <= handoverMost, "tickets"})
 }
 
 // HandOverReply says whether the part was taken.
--- a/placement/client.go
+++ b/placement/client.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// askTries is how many schedulers are asked before a host decides alone.
+	// askTries is how many schedulers are asked before a host decides fallback.
 	askTries = 3
 	// movedPause is the pause before another scheduler is asked.
 	movedPause = 20 * time.Millisecond
@@ -51,11 +51,11 @@
 type Client struct {
 	fleet Fleet
 	local *Server
-	// alone decides while no scheduler of the pool can be reached.
-	alone   *Server
-	reports chan report
-	done    chan struct{}
-	cancel  context.CancelFunc
+	// fallback decides while no scheduler of the pool can be reached.
+	fallback *Server
+	reports  chan report
+	done     chan struct{}
+	cancel   context.CancelFunc
 
 	mu   sync.Mutex
 	runs map[pool.RequestID]*Lease
@@ -69,11 +69,11 @@
 }
 
 // NewClient returns a client and its clean-up function. The servers local and
-// alone run the schedulers of this host.
-func NewClient(fleet Fleet, local, alone *Server) (*Client, func()) {
+// fallback run the schedulers of this host.
+func NewClient(fleet Fleet, local, fallback *Server) (*Client, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
-		fleet: fleet, local: local, alone: alone,
+		fleet: fleet, local: local, fallback: fallback,
 		reports: make(chan report, reportRing), done: make(chan struct{}), cancel: cancel,
 		runs: map[pool.RequestID]*Lease{},
 	}
@@ -90,7 +90,7 @@
 	pool     pool.ID
 	ask      pool.Ask
 	upstream plan.UpstreamID
-	// granter is the host that granted; a zero ID means this host alone.
+	// granter is the host that granted; a zero ID means this host fallback.
 	granter member.Self
 	server  *Server
 	mu      sync.Mutex
@@ -125,8 +125,8 @@
 	if id.Domain != c.fleet.Self().Domain {
 		return nil, &RefusedError{Pool: id, Reason: pool.NoUpstream, RetryAfter: time.Second}
 	}
-	decision := c.alone.Ask(ctx, id, ask)
-	return c.settle(ctx, member.Self{}, c.alone, id, ask, decision)
+	decision := c.fallback.Ask(ctx, id, ask)
+	return c.settle(ctx, member.Self{}, c.fallback, id, ask, decision)
 }
 
 // settle turns a decision into a lease or an error.
--- a/placement/server.go
+++ b/placement/server.go
@@ -34,7 +34,7 @@
 
 // NewServer returns a server and its clean-up function. Part gives the part of
 // every pool that the server may use: 1 for a pool's scheduler, less for a
-// host that decides alone. Gather may be nil.
+// host that decides fallback. Gather may be nil.
 func NewServer(state func() *plan.State, part func() float64, gather func(context.Context, pool.ID) []pool.Run) (*Server, func()) {
 	s := &Server{
 		state: state, gather: gather, part: part,
@@ -142,15 +142,15 @@
 	return out
 }
 
-// Accuse takes in what another host knows of crashes. It returns whether any
+// RecordCrashes takes in what another host knows of crashes. It returns whether any
 // of it was new.
-func (s *Server) Accuse(now time.Time, suspects []pool.Suspect) bool {
+func (s *Server) RecordCrashes(now time.Time, suspects []pool.Suspect) bool {
 	s.mu.Lock()
 	s.known.Expire(now)
 	fresh := s.known.Merge(now, suspects, s.state().QuarantineFor())
 	s.mu.Unlock()
 	if fresh {
-		s.TellAll(&pool.Accused{Suspects: suspects})
+		s.TellAll(&pool.CrashesTold{Suspects: suspects})
 	}
 	return fresh
 }
@@ -192,7 +192,7 @@
 	}
 	a := newActor(time.Now(), s.gather != nil, s.changed)
 	a.tell(s.changedFor(id))
-	a.tell(&pool.Accused{Suspects: s.known.List(time.Now())})
+	a.tell(&pool.CrashesTold{Suspects: s.known.List(time.Now())})
 	s.actors[id] = a
 	if s.gather != nil {
 		s.wait.Add(1)
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -65,15 +65,15 @@
 	return out
 }
 
-// grantFloor serves a seated request whose floor has earned its work, or that
+// grantFloor serves a request in a floor slot whose floor has earned its work, or that
 // has waited too long.
 func (s *Scheduler) grantFloor(now time.Time, v view) bool {
 	for t := plan.LowestTier; t > plan.HighestTier; t-- {
 		q := s.tiers[t]
-		if q.seat == nil || !q.turn(now) {
+		if q.floorSlot == nil || !q.turn(now) {
 			continue
 		}
-		if s.grant(now, v, q, q.seat, true) {
+		if s.grant(now, v, q, q.floorSlot, true) {
 			return true
 		}
 	}
@@ -82,7 +82,7 @@
 
 // turn says whether the tier's floor has to be served now.
 func (q *tierQueue) turn(now time.Time) bool {
-	return q.credit >= q.seat.work || now.Sub(q.seat.seated) >= seatPatience
+	return q.credit >= q.floorSlot.work || now.Sub(q.floorSlot.heldSince) >= floorPatience
 }
 
 func (s *Scheduler) grantTier(now time.Time, v view) bool {
@@ -90,11 +90,11 @@
 		if v.room <= v.reserve[q.tier] {
 			return false
 		}
-		if q.seat != nil && s.grant(now, v, q, q.seat, false) {
+		if q.floorSlot != nil && s.grant(now, v, q, q.floorSlot, false) {
 			return true
 		}
 		for lane := range laneCount {
-			it := s.vetted(now, q, lane)
+			it := s.admitted(now, q, lane)
 			if it != nil && s.grant(now, v, q, it, false) {
 				return true
 			}
@@ -103,9 +103,9 @@
 	return false
 }
 
-// vetted returns the head of a lane after moving requests that became
+// admitted returns the head of a lane after moving requests that became
 // restricted while they waited, and refusing those that became quarantined.
-func (s *Scheduler) vetted(now time.Time, q *tierQueue, lane laneID) *item {
+func (s *Scheduler) admitted(now time.Time, q *tierQueue, lane laneID) *item {
 	for {
 		it := q.next(now, lane)
 		if it == nil {
@@ -128,7 +128,7 @@
 
 // grant places a request if an upstream has room for it.
 func (s *Scheduler) grant(now time.Time, v view, q *tierQueue, it *item, floor bool) bool {
-	if q.seat == it && !s.admitSeat(now, q) {
+	if q.floorSlot == it && !s.admitFloorSlot(now, q) {
 		return true
 	}
 	reserve := v.reserve[q.tier]
@@ -139,16 +139,16 @@
 	if b == nil {
 		return false
 	}
-	if q.seat == it {
+	if q.floorSlot == it {
 		q.charge(it)
-		q.seat = nil
+		q.floorSlot = nil
 	} else {
 		q.remove(it)
 		q.charge(it)
 	}
 	s.earn(q, it.work)
-	s.press(now, q, it)
-	s.fillSeat(now, q)
+	s.raiseReserves(now, q, it)
+	s.fillFloorSlot(now, q)
 	s.place(now, it, b)
 	s.out = append(s.out, Command{Kind: Grant, ID: it.ask.ID, Upstream: b.id})
 	delete(s.waiting, it.ask.ID)
@@ -156,13 +156,13 @@
 	return true
 }
 
-// admitSeat checks the seated request against the suspects. It returns false
-// where the request was refused, so that the seat has changed.
-func (s *Scheduler) admitSeat(now time.Time, q *tierQueue) bool {
-	it := q.seat
+// admitFloorSlot checks the request in the floor slot against the suspects. It returns false
+// where the request was refused, so that the floor slot has changed.
+func (s *Scheduler) admitFloorSlot(now time.Time, q *tierQueue) bool {
+	it := q.floorSlot
 	if left := s.suspects.Quarantined(now, it.ask.Content); left > 0 {
-		q.seat = nil
-		s.fillSeat(now, q)
+		q.floorSlot = nil
+		s.fillFloorSlot(now, q)
 		s.refuseItem(it, Quarantined, left)
 		return false
 	}
@@ -170,11 +170,11 @@
 	return true
 }
 
-// earn credits the floors of all other tiers that have a seat waiting.
+// earn credits the floors of all other tiers that have a request waiting.
 func (s *Scheduler) earn(served *tierQueue, work Work) {
 	for t := plan.HighestTier + 1; t <= plan.LowestTier; t++ {
 		q := s.tiers[t]
-		if q != served && q.seat != nil {
+		if q != served && q.floorSlot != nil {
 			q.credit += Work(s.floors[t]) * work
 		}
 	}
@@ -182,25 +182,25 @@
 }
 
 const (
-	// pressWait is the part of its first-token target after which a wait
+	// reserveWait is the part of its first-token target after which a wait
 	// counts against the lower tiers.
-	pressWait = 0.4
-	// pressStep is by how much one such wait raises what they leave free.
-	pressStep = 0.02
-	extraMost = 0.45
+	reserveWait = 0.4
+	// reserveStep is by how much one such wait raises what they leave free.
+	reserveStep = 0.02
+	extraMost   = 0.45
 	// extraKeep is what is left of it after a tick.
 	extraKeep = 0.995
 )
 
-// press makes lower tiers leave more room where a request had to wait for it.
-func (s *Scheduler) press(now time.Time, q *tierQueue, it *item) {
-	bound := time.Duration(pressWait * float64(it.ask.Target.FirstToken.Std()))
+// raiseReserves makes lower tiers leave more room where a request had to wait for it.
+func (s *Scheduler) raiseReserves(now time.Time, q *tierQueue, it *item) {
+	bound := time.Duration(reserveWait * float64(it.ask.Target.FirstToken.Std()))
 	if now.Sub(it.ask.Arrived) <= bound {
 		return
 	}
 	for _, lower := range s.tiers[q.tier+1:] {
 		if now.Sub(lower.seen) < reserveTime {
-			lower.extra = min(lower.extra+pressStep, extraMost)
+			lower.extra = min(lower.extra+reserveStep, extraMost)
 		}
 	}
 }
@@ -247,14 +247,14 @@
 	if content == 0 {
 		return nil
 	}
-	held := s.unvetted[content]
+	held := s.unproven[content]
 	distinct := s.suspects.Crashes(content)
 	for i, b := range held {
 		if !slices.Contains(held[:i], b) {
 			distinct++
 		}
 	}
-	if distinct < vetRuns || s.suspects.IsVetted(content) {
+	if distinct < unprovenRuns || s.suspects.IsProven(content) {
 		return nil
 	}
 	if held == nil {
@@ -277,8 +277,8 @@
 	if it.suspect {
 		b.suspects++
 	}
-	if it.ask.Content != 0 && !s.suspects.IsVetted(it.ask.Content) {
-		s.unvetted[it.ask.Content] = append(s.unvetted[it.ask.Content], b)
+	if it.ask.Content != 0 && !s.suspects.IsProven(it.ask.Content) {
+		s.unproven[it.ask.Content] = append(s.unproven[it.ask.Content], b)
 	}
 	r := s.newRun()
 	*r = run{ask: it.ask, backend: b, work: it.work, huge: it.huge, suspect: it.suspect, granted: now}
--- a/pool/event.go
+++ b/pool/event.go
@@ -150,8 +150,8 @@
 	}
 	// Restored tells a new scheduler about runs that an earlier one granted.
 	Restored struct{ Runs []Run }
-	// Accused merges what another host knows of crashes.
-	Accused struct{ Suspects []Suspect }
+	// CrashesTold merges what another host knows of crashes.
+	CrashesTold struct{ Suspects []Suspect }
 	// HostGone forgets every request of one start of an entry host.
 	HostGone struct {
 		Host        plan.HostID
@@ -171,17 +171,17 @@
 	Ticked struct{}
 )
 
-func (*Asked) event()     {}
-func (*Withdrawn) event() {}
-func (*Started) event()   {}
-func (*Ended) event()     {}
-func (*Reported) event()  {}
-func (*Changed) event()   {}
-func (*Restored) event()  {}
-func (*Accused) event()   {}
-func (*HostGone) event()  {}
-func (*Confirmed) event() {}
-func (*Ticked) event()    {}
+func (*Asked) event()       {}
+func (*Withdrawn) event()   {}
+func (*Started) event()     {}
+func (*Ended) event()       {}
+func (*Reported) event()    {}
+func (*Changed) event()     {}
+func (*Restored) event()    {}
+func (*CrashesTold) event() {}
+func (*HostGone) event()    {}
+func (*Confirmed) event()   {}
+func (*Ticked) event()      {}
 
 // Reason says why a request was refused. No refused request was run.
 type Reason string
--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -85,7 +85,7 @@
 	queued := 0
 	for _, q := range m.core.tiers[1:] {
 		queued += q.count
-		if q.seat != nil {
+		if q.floorSlot != nil {
 			queued++
 		}
 		if q.queued < -1e-6 {
--- a/pool/queue.go
+++ b/pool/queue.go
@@ -40,8 +40,8 @@
 	deadline time.Time
 	// serial orders items by arrival at the scheduler.
 	serial uint64
-	// seated is when the item took its tier's seat. Zero means not seated.
-	seated time.Time
+	// heldSince is when the item took its tier's floor slot. Zero means not yet.
+	heldSince time.Time
 
 	flow *flow
 	// in is the heap that holds the item, or nil. pos is its index there.
@@ -210,13 +210,13 @@
 	// clock is the virtual time of the last pick. A flow that becomes active
 	// starts no earlier.
 	clock float64
-	// queued and count leave the seat out.
+	// queued and count leave the floor slot out.
 	queued Work
 	count  int
-	// seat is the one request that the tier's floor carries. It is not part
+	// floorSlot holds the one request that the tier's floor carries. It is not part
 	// of the queue: it can't be shed, and it takes no room from other tiers.
-	seat *item
-	// credit is the work that the floor has earned since the seat was filled.
+	floorSlot *item
+	// credit is the work that the floor has earned since the floor slot was filled.
 	credit Work
 	// seen is when the tier's last request came.
 	seen time.Time
@@ -369,21 +369,21 @@
 }
 
 const (
-	// hopelessPart is the part of the target that a wait in the queue may
+	// latePart is the part of the target that a wait in the queue may
 	// take; the engine needs the rest.
-	hopelessPart = 0.8
-	// overrunPart is the multiple of the target above which a tier is far
+	latePart = 0.8
+	// farBehindPart is the multiple of the target above which a tier is far
 	// behind.
-	overrunPart = 2.0
+	farBehindPart = 2.0
 	// waitLeast is a wait for which nothing is refused: a caller that is refused
 	// and asks again would wait longer.
 	waitLeast = 2 * time.Second
 )
 
-// hopeless says whether a request at the end of the queue would wait longer than
+// wouldBeLate says whether a request at the end of the queue would wait longer than
 // the given part of its target at the tier's pace, which is at least the given
 // one.
-func (q *tierQueue) hopeless(least, part float64) bool {
+func (q *tierQueue) wouldBeLate(least, part float64) bool {
 	if q.count < 2 {
 		return false
 	}
@@ -395,7 +395,7 @@
 // tier's clock.
 func (q *tierQueue) prune() {
 	for id, f := range q.flows {
-		if f.count == 0 && f.virtual <= q.clock && (q.seat == nil || q.seat.flow != f) {
+		if f.count == 0 && f.virtual <= q.clock && (q.floorSlot == nil || q.floorSlot.flow != f) {
 			delete(q.flows, id)
 		}
 	}
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -4,7 +4,7 @@
 //
 // The order is strict by tier, fair between the accounts of a tier, and by
 // earliest deadline inside an account. Every tier below the highest has a
-// floor: one seat outside the queue, which earns credit while others are
+// floor slot: one request outside the queue, which earns credit while others are
 // served. docs/SCHEDULING.md gives the rule and the argument.
 package pool
 
@@ -24,14 +24,14 @@
 	promptWork = 0.02
 	// bulkyPrompt is the length above which a prompt is huge.
 	bulkyPrompt Tokens = 6000
-	// seatPatience is how long a seated request waits for credit at the most.
-	seatPatience = 2 * time.Second
+	// floorPatience is how long a request in a floor slot waits for credit at the most.
+	floorPatience = 2 * time.Second
 	// spread bounds the load that prefix placement may put on one upstream, as
 	// a multiple of the pool's mean.
 	spread = 1.25
-	// vetRuns is on how many upstreams a content may run at once before it
+	// unprovenRuns is on how many upstreams a content may run at once before it
 	// finished for the first time.
-	vetRuns = 2
+	unprovenRuns = 2
 	// reserveTime is how long room is kept for a tier after its last request.
 	reserveTime = 10 * time.Second
 	// confirmGrace is how old a grant must be to be missed.
@@ -59,8 +59,8 @@
 	byID     map[plan.UpstreamID]*backend
 	waiting  map[RequestID]*item
 	runs     map[RequestID]*run
-	// unvetted gives, for contents that never finished, where they run now.
-	unvetted   map[ContentHash][]*backend
+	// unproven gives, for contents that never finished, where they run now.
+	unproven   map[ContentHash][]*backend
 	suspects   *Suspects
 	predictor  predictor
 	quarantine time.Duration
@@ -87,7 +87,7 @@
 		byID:       map[plan.UpstreamID]*backend{},
 		waiting:    map[RequestID]*item{},
 		runs:       map[RequestID]*run{},
-		unvetted:   map[ContentHash][]*backend{},
+		unproven:   map[ContentHash][]*backend{},
 		suspects:   suspects,
 		predictor:  predictor{seen: map[lengthKey]*lengths{}},
 		quarantine: plan.DefaultQuarantine,
@@ -121,7 +121,7 @@
 		s.changed(now, e)
 	case *Restored:
 		s.restored(now, e.Runs)
-	case *Accused:
+	case *CrashesTold:
 		s.suspects.Merge(now, e.Suspects, s.quarantine)
 	case *HostGone:
 		s.hostGone(now, e)
@@ -155,7 +155,7 @@
 	q := s.tiers[ask.Tier]
 	q.noteTarget(now, ask.Target.FirstToken.Std())
 	q.add(it)
-	s.fillSeat(now, q)
+	s.fillFloorSlot(now, q)
 }
 
 func (s *Scheduler) newItem(now time.Time, ask *Ask) *item {
@@ -188,16 +188,16 @@
 	return Work(float64(s.predictor.estimate(ask)) + promptWork*float64(ask.Prompt))
 }
 
-// fillSeat moves the request that goes next in a tier to its free seat. The
+// fillFloorSlot moves the request that goes next in a tier to its free floor slot. The
 // highest tier needs none, since nothing goes before it.
-func (s *Scheduler) fillSeat(now time.Time, q *tierQueue) {
-	if q.tier == plan.HighestTier || q.seat != nil || q.count == 0 {
+func (s *Scheduler) fillFloorSlot(now time.Time, q *tierQueue) {
+	if q.tier == plan.HighestTier || q.floorSlot != nil || q.count == 0 {
 		return
 	}
 	it := q.first(now)
 	q.remove(it)
-	it.seated = now
-	q.seat, q.credit = it, 0
+	it.heldSince = now
+	q.floorSlot, q.credit = it, 0
 }
 
 // refuseItem refuses a request that was taken out of the queue.
@@ -212,12 +212,12 @@
 	s.free = append(s.free, it)
 }
 
-// takeOut removes a waiting request from its seat or its queue.
+// takeOut removes a waiting request from its floor slot or its queue.
 func (s *Scheduler) takeOut(now time.Time, it *item) {
 	q := s.tiers[it.ask.Tier]
-	if q.seat == it {
-		q.seat = nil
-		s.fillSeat(now, q)
+	if q.floorSlot == it {
+		q.floorSlot = nil
+		s.fillFloorSlot(now, q)
 		return
 	}
 	q.remove(it)
@@ -258,7 +258,7 @@
 		s.finished(now, r, e)
 	case Crashed:
 		b.takeDown(now)
-		s.suspects.Accuse(now, r.ask.Content, Crash{Upstream: b.id, Instance: e.Instance}, s.quarantine)
+		s.suspects.RecordCrash(now, r.ask.Content, Crash{Upstream: b.id, Instance: e.Instance}, s.quarantine)
 	case Silent:
 		b.takeDown(now)
 	case Refused:
@@ -321,22 +321,22 @@
 	if r.huge && !r.started {
 		b.reading--
 	}
-	s.leaveUnvetted(r)
+	s.leaveUnproven(r)
 	delete(s.runs, id)
 }
 
-func (s *Scheduler) leaveUnvetted(r *run) {
-	held := s.unvetted[r.ask.Content]
+func (s *Scheduler) leaveUnproven(r *run) {
+	held := s.unproven[r.ask.Content]
 	i := slices.Index(held, r.backend)
 	if i < 0 {
 		return
 	}
 	held = slices.Delete(held, i, i+1)
 	if len(held) == 0 {
-		delete(s.unvetted, r.ask.Content)
+		delete(s.unproven, r.ask.Content)
 		return
 	}
-	s.unvetted[r.ask.Content] = held
+	s.unproven[r.ask.Content] = held
 }
 
 func (s *Scheduler) reported(now time.Time, e *Reported) {
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -147,7 +147,7 @@
 
 // TestLowestTierIsServed keeps the pool saturated with the highest tier and
 // checks that a request of the lowest is served within the stated bound: the
-// seat's patience and the time until a slot is free.
+// floor's patience and the time until a slot is free.
 func TestLowestTierIsServed(t *testing.T) {
 	s := newTestScheduler(2)
 	running := fillSlots(s, start)
@@ -161,7 +161,7 @@
 		running = running[1:]
 		for _, g := range granted {
 			if g == 1 {
-				if waited := now.Sub(start); waited > seatPatience+time.Second {
+				if waited := now.Sub(start); waited > floorPatience+time.Second {
 					t.Errorf("the lowest tier waited %s", waited)
 				}
 				return
--- a/pool/shed.go
+++ b/pool/shed.go
@@ -17,7 +17,7 @@
 			return
 		}
 		over := s.queuedWork() > bound && !s.onlyOne(q)
-		if !over && !q.hopeless(s.leastPace(q, bound), hopelessPart) && !s.overrun(q, bound) {
+		if !over && !q.wouldBeLate(s.leastPace(q, bound), latePart) && !s.anyFarBehind(q, bound) {
 			return
 		}
 		it := q.victim()
@@ -26,12 +26,12 @@
 	}
 }
 
-// overrun says whether a tier above the lowest queued one is far behind its
+// anyFarBehind says whether a tier above the lowest queued one is far behind its
 // targets. Then there is no room for lower tiers but their floors, and they are
 // refused first, so that the tier itself may be trimmed.
-func (s *Scheduler) overrun(lowest *tierQueue, bound Work) bool {
+func (s *Scheduler) anyFarBehind(lowest *tierQueue, bound Work) bool {
 	for _, q := range s.tiers[1:lowest.tier] {
-		if q.hopeless(s.leastPace(q, bound), overrunPart) {
+		if q.wouldBeLate(s.leastPace(q, bound), farBehindPart) {
 			return true
 		}
 	}
@@ -43,7 +43,7 @@
 func (s *Scheduler) leastPace(q *tierQueue, bound Work) float64 {
 	whole := float64(bound) / queueSeconds
 	for _, higher := range s.tiers[1:q.tier] {
-		if higher.count > 0 || higher.seat != nil {
+		if higher.count > 0 || higher.floorSlot != nil {
 			return max(1, whole*s.floors[q.tier])
 		}
 	}
--- a/pool/status.go
+++ b/pool/status.go
@@ -32,7 +32,7 @@
 	}
 	for t := plan.HighestTier; t <= plan.LowestTier; t++ {
 		n := s.tiers[t].count
-		if s.tiers[t].seat != nil {
+		if s.tiers[t].floorSlot != nil {
 			n++
 		}
 		if n > 0 {
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -12,8 +12,8 @@
 	crashLimit = 2
 	// suspectMost bounds the table of suspects.
 	suspectMost = 4096
-	// vettedMost bounds one generation of contents that finished once.
-	vettedMost = 4096
+	// provenMost bounds one generation of contents that finished once.
+	provenMost = 4096
 	// suspectLife is how long a suspicion without a second crash lasts.
 	suspectLife = 10 * time.Minute
 )
@@ -42,20 +42,20 @@
 // It bounds the number of upstreams that one request can bring down.
 type Suspects struct {
 	byContent map[ContentHash]*suspicion
-	// vetted and older hold contents that finished at least once.
-	vetted, older map[ContentHash]bool
+	// proven and older hold contents that finished at least once.
+	proven, older map[ContentHash]bool
 	// changed says that there is something to tell other hosts.
 	changed bool
 }
 
 // NewSuspects returns an empty table.
 func NewSuspects() *Suspects {
-	return &Suspects{byContent: map[ContentHash]*suspicion{}, vetted: map[ContentHash]bool{}}
+	return &Suspects{byContent: map[ContentHash]*suspicion{}, proven: map[ContentHash]bool{}}
 }
 
-// Accuse records that content was running when an upstream crashed. A second
+// RecordCrash records that content was running when an upstream crashed. A second
 // crash quarantines it for the given span.
-func (s *Suspects) Accuse(now time.Time, content ContentHash, crash Crash, quarantine time.Duration) {
+func (s *Suspects) RecordCrash(now time.Time, content ContentHash, crash Crash, quarantine time.Duration) {
 	if content == 0 {
 		return
 	}
@@ -72,7 +72,7 @@
 	}
 	entry.crashes = append(entry.crashes, crash)
 	s.changed = true
-	delete(s.vetted, content)
+	delete(s.proven, content)
 	delete(s.older, content)
 	if len(entry.crashes) >= crashLimit {
 		entry.until = now.Add(quarantine)
@@ -85,7 +85,7 @@
 	s.changed = false
 	for _, o := range other {
 		for _, c := range o.Crashes {
-			s.Accuse(now, o.Content, c, min(quarantine, o.Left))
+			s.RecordCrash(now, o.Content, c, min(quarantine, o.Left))
 		}
 	}
 	fresh := s.changed
@@ -101,10 +101,10 @@
 	if entry := s.byContent[content]; entry != nil && len(entry.crashes) < crashLimit {
 		delete(s.byContent, content)
 	}
-	s.vetted[content] = true
-	if len(s.vetted) >= vettedMost {
-		s.older = s.vetted
-		s.vetted = make(map[ContentHash]bool, vettedMost)
+	s.proven[content] = true
+	if len(s.proven) >= provenMost {
+		s.older = s.proven
+		s.proven = make(map[ContentHash]bool, provenMost)
 	}
 }
 
@@ -122,9 +122,9 @@
 	return 0
 }
 
-// IsVetted says whether content finished before.
-func (s *Suspects) IsVetted(content ContentHash) bool {
-	return s.vetted[content] || s.older[content]
+// IsProven says whether content finished before.
+func (s *Suspects) IsProven(content ContentHash) bool {
+	return s.proven[content] || s.older[content]
 }
 
 // Quarantined returns how long content is still refused, or zero.
--- a/relay/desk.go
+++ b/relay/relay.go
@@ -1,4 +1,4 @@
-// Package relay carries tickets between hosts. A Desk is home and backup to
+// Package relay carries tickets between hosts. A Relay is home and backup to
 // the tickets of its own host, and brings requests with any other ticket to
 // where that ticket belongs. Callers may send a ticket to whichever host.
 package relay
@@ -24,13 +24,13 @@
 	intentTime  = 2 * time.Second
 )
 
-// Fleet is what a desk knows of the other hosts.
+// Fleet is what a relay knows of the other hosts.
 type Fleet interface {
 	Self() member.Self
 	Live(domain plan.DomainID) []member.Self
 	// Find returns a host by name, and false where it is not known.
 	Find(id plan.HostID) (member.Host, bool)
-	// Successor returns who holds the estate of an incarnation that left.
+	// Successor returns who holds the handover of an incarnation that left.
 	Successor(member.Former) (member.Former, bool)
 	Call(ctx context.Context, host member.Self, method string, args, reply any) error
 }
@@ -38,16 +38,16 @@
 // Run runs a job once its guard agrees.
 type Run func(ctx context.Context, j *job.Job, arrived time.Time, guard runner.Guard, out job.Output) error
 
-// Desk handles the tickets of one host.
-type Desk struct {
+// Relay handles the tickets of one host.
+type Relay struct {
 	fleet Fleet
 	run   Run
 	bytes int64
 
-	mu     sync.Mutex
-	home   *ticket.Home
-	backup *ticket.Backup
-	heir   *ticket.Heir
+	mu        sync.Mutex
+	home      *ticket.Home
+	backup    *ticket.Backup
+	successor *ticket.Successor
 	// turn spreads tickets over the hosts that may be their backup.
 	turn int
 
@@ -56,7 +56,7 @@
 	done    chan struct{}
 }
 
-// Options are a desk's parts.
+// Options are a relay's parts.
 type Options struct {
 	Fleet Fleet
 	Run   Run
@@ -68,21 +68,21 @@
 	Bytes int64
 }
 
-// NewDesk returns a desk and its clean-up function.
-func NewDesk(o Options) (*Desk, func()) {
+// New returns a relay and its clean-up function.
+func New(o Options) (*Relay, func()) {
 	self := formerOf(o.Fleet.Self())
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Desk{
+	r := &Relay{
 		fleet: o.Fleet, run: o.Run, bytes: o.Bytes,
-		home:   ticket.NewHome(self, o.Key, o.Life, recordsMost),
-		backup: ticket.NewBackup(self, o.Life, recordsMost),
-		heir:   ticket.NewHeir(o.Life),
-		cancel: cancel, done: make(chan struct{}),
+		home:      ticket.NewHome(self, o.Key, o.Life, recordsMost),
+		backup:    ticket.NewBackup(self, o.Life, recordsMost),
+		successor: ticket.NewSuccessor(o.Life),
+		cancel:    cancel, done: make(chan struct{}),
 	}
-	go d.expire(ctx)
-	return d, func() {
+	go r.expire(ctx)
+	return r, func() {
 		cancel()
-		<-d.done
+		<-r.done
 	}
 }
 
@@ -90,17 +90,17 @@
 	return member.Former{Host: s.ID, Incarnation: s.Incarnation}
 }
 
-func (d *Desk) expire(ctx context.Context) {
-	defer close(d.done)
+func (r *Relay) expire(ctx context.Context) {
+	defer close(r.done)
 	tick := time.NewTicker(expireTime)
 	defer tick.Stop()
 	for {
 		select {
 		case now := <-tick.C:
-			d.locked(func() {
-				d.home.Expire(now, d.bytes)
-				d.backup.Expire(now)
-				d.heir.Expire(now)
+			r.locked(func() {
+				r.home.Expire(now, r.bytes)
+				r.backup.Expire(now)
+				r.successor.Expire(now)
 			})
 		case <-ctx.Done():
 			return
@@ -108,115 +108,115 @@
 	}
 }
 
-func (d *Desk) locked(f func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (r *Relay) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	f()
 }
 
-// Counts returns how many tickets the desk holds as home and as backup.
-func (d *Desk) Counts() (home, backup int) {
-	d.locked(func() { home, backup = d.home.Count(), d.backup.Count() })
+// Counts returns how many tickets the relay holds as home and as backup.
+func (r *Relay) Counts() (home, backup int) {
+	r.locked(func() { home, backup = r.home.Count(), r.backup.Count() })
 	return home, backup
 }
 
 // Mint issues a ticket to an account. Its backup is another live host of the
 // domain; where there is none, the ticket has no backup and only its home can
 // say what became of it.
-func (d *Desk) Mint(account plan.AccountID) (ticket.Token, error) {
-	self := d.fleet.Self()
+func (r *Relay) Mint(account plan.AccountID) (ticket.Token, error) {
+	self := r.fleet.Self()
 	var others []member.Self
-	for _, h := range d.fleet.Live(self.Domain) {
+	for _, h := range r.fleet.Live(self.Domain) {
 		if h.ID != self.ID {
 			others = append(others, h)
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var backup member.Former
 	if len(others) > 0 {
-		d.turn++
-		backup = formerOf(others[d.turn%len(others)])
+		r.turn++
+		backup = formerOf(others[r.turn%len(others)])
 	}
-	return d.home.Mint(time.Now(), account, backup)
+	return r.home.Mint(time.Now(), account, backup)
 }
 
 // begin takes up a ticket of this home and starts its run where it is new.
-func (d *Desk) begin(t ticket.Token, j *job.Job, arrived time.Time) (*ticket.Record, error) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	record, fresh, err := d.home.Use(time.Now(), t, j.Account, j.Hash())
+func (r *Relay) begin(t ticket.Token, j *job.Job, arrived time.Time) (*ticket.Record, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record, fresh, err := r.home.Use(time.Now(), t, j.Account, j.Hash())
 	if err != nil {
 		return nil, err
 	}
 	if fresh {
-		d.running.Go(func() { d.serve(record, j, arrived) })
+		r.running.Go(func() { r.serve(record, j, arrived) })
 	}
 	return record, nil
 }
 
 // serve runs a ticket's job. It goes on when the caller leaves, since the
 // caller may come back for the answer.
-func (d *Desk) serve(record *ticket.Record, j *job.Job, arrived time.Time) {
+func (r *Relay) serve(record *ticket.Record, j *job.Job, arrived time.Time) {
 	agreed := false
 	guard := func(ctx context.Context) error {
 		if agreed {
 			return nil
 		}
-		if err := d.intend(ctx, record.Token); err != nil {
+		if err := r.intend(ctx, record.Token); err != nil {
 			return err
 		}
 		agreed = true
 		return nil
 	}
-	err := d.run(context.Background(), j, arrived, guard, record.Answer)
-	d.locked(func() { d.settle(record.Token, err) })
+	err := r.run(context.Background(), j, arrived, guard, record.Answer)
+	r.locked(func() { r.settle(record.Token, err) })
 	record.Answer.Close()
 }
 
 // settle records how a run ended.
-func (d *Desk) settle(t ticket.Token, err error) {
+func (r *Relay) settle(t ticket.Token, err error) {
 	if err == nil {
-		d.home.Finish(t, ticket.Ran, "")
+		r.home.Finish(t, ticket.Ran, "")
 		return
 	}
 	e := refusal.Of(err)
 	if e.Outcome == ticket.NotRun {
-		if !d.home.Void(t, ticket.Reason(e.Code)) {
-			d.home.Finish(t, ticket.NotRun, ticket.Reason(e.Code))
+		if !r.home.Void(t, ticket.Reason(e.Code)) {
+			r.home.Finish(t, ticket.NotRun, ticket.Reason(e.Code))
 		}
 		return
 	}
-	d.home.Finish(t, e.Outcome, ticket.Interrupted)
+	r.home.Finish(t, e.Outcome, ticket.Interrupted)
 }
 
 // intend asks the ticket's backup to agree to the dispatch, and then the home
 // itself. Without both the ticket is void.
-func (d *Desk) intend(ctx context.Context, t ticket.Token) error {
+func (r *Relay) intend(ctx context.Context, t ticket.Token) error {
 	name, err := ticket.Parse(t)
 	if err != nil {
 		return err
 	}
-	if name.Backup.Host != "" && !d.acknowledged(ctx, name, t) {
-		d.locked(func() { d.home.Void(t, ticket.Voided) })
+	if name.Backup.Host != "" && !r.acknowledged(ctx, name, t) {
+		r.locked(func() { r.home.Void(t, ticket.Voided) })
 		return &ticket.RefusedError{Reason: ticket.Voided, Outcome: ticket.NotRun}
 	}
 	var may bool
-	d.locked(func() { may = d.home.MayDispatch(time.Now(), t) })
+	r.locked(func() { may = r.home.MayDispatch(time.Now(), t) })
 	if !may {
 		return &ticket.RefusedError{Reason: ticket.Voided, Outcome: ticket.NotRun}
 	}
 	return nil
 }
 
-func (d *Desk) acknowledged(ctx context.Context, name ticket.Name, t ticket.Token) bool {
-	host, ok := d.fleet.Find(name.Backup.Host)
+func (r *Relay) acknowledged(ctx context.Context, name ticket.Name, t ticket.Token) bool {
+	host, ok := r.fleet.Find(name.Backup.Host)
 	if !ok || host.Self.Incarnation != name.Backup.Incarnation {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, intentTime)
 	defer cancel()
 	var reply peer.IntentReply
-	err := d.fleet.Call(ctx, host.Self, "Intent", &peer.TicketArgs{Ticket: t}, &reply)
+	err := r.fleet.Call(ctx, host.Self, "Intent", &peer.TicketArgs{Ticket: t}, &reply)
 	return err == nil && reply.Acknowledged
 }
--- a/relay/use.go
+++ b/relay/use.go
@@ -29,27 +29,27 @@
 // Use runs a job under a ticket, or takes up what the ticket already did, and
 // writes the whole answer to out. It fails with a refusal whose outcome is
 // true.
-func (d *Desk) Use(ctx context.Context, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+func (r *Relay) Use(ctx context.Context, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
 	name, err := ticket.Parse(t)
 	if err != nil {
 		return refusal.New(refusal.TicketInvalid, err.Error())
 	}
-	if name.Home == formerOf(d.fleet.Self()) {
-		record, err := d.begin(t, j, arrived)
+	if name.Home == formerOf(r.fleet.Self()) {
+		record, err := r.begin(t, j, arrived)
 		if err != nil {
 			return refusal.Of(err)
 		}
-		return d.copyLocal(ctx, record, j, out)
+		return r.copyLocal(ctx, record, j, out)
 	}
-	return d.useRemote(ctx, name, t, j, arrived, out)
+	return r.useRemote(ctx, name, t, j, arrived, out)
 }
 
 // copyLocal copies the answer of a ticket of this home.
-func (d *Desk) copyLocal(ctx context.Context, record *ticket.Record, j *job.Job, out job.Output) error {
+func (r *Relay) copyLocal(ctx context.Context, record *ticket.Record, j *job.Job, out job.Output) error {
 	read := func(offset int) (ticket.Part, error) {
 		part := record.Answer.Read(ctx, offset, partBytes)
 		if part.Done {
-			return part, d.ending(record.Token, j)
+			return part, r.ending(record.Token, j)
 		}
 		return part, ctx.Err()
 	}
@@ -57,10 +57,10 @@
 }
 
 // ending says how a ticket of this home ended.
-func (d *Desk) ending(t ticket.Token, j *job.Job) error {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	_, _, err := d.home.Use(time.Now(), t, j.Account, j.Hash())
+func (r *Relay) ending(t ticket.Token, j *job.Job) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _, err := r.home.Use(time.Now(), t, j.Account, j.Hash())
 	if err != nil {
 		return refusal.Of(err)
 	}
@@ -98,23 +98,23 @@
 // errGone says that a ticket's home is no more.
 var errGone = errors.New("the home of the ticket is gone")
 
-// useRemote brings a ticket to its home, to who inherited from it, or asks its
+// useRemote brings a ticket to its home, to who received from it, or asks its
 // backup what became of it.
-func (d *Desk) useRemote(ctx context.Context, name ticket.Name, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+func (r *Relay) useRemote(ctx context.Context, name ticket.Name, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
 	counted := &countedOutput{Output: out}
-	if host, ok := d.fleet.Find(name.Home.Host); ok {
-		err := d.useAt(ctx, host.Self, t, j, arrived, counted)
+	if host, ok := r.fleet.Find(name.Home.Host); ok {
+		err := r.useAt(ctx, host.Self, t, j, arrived, counted)
 		if !errors.Is(err, errGone) {
 			return err
 		}
 	}
-	if heir, ok := d.fleet.Successor(name.Home); ok {
-		err := d.useHeir(ctx, heir, t, j, arrived, &restOutput{countedOutput: counted, skip: counted.written})
+	if successor, ok := r.fleet.Successor(name.Home); ok {
+		err := r.useSuccessor(ctx, successor, t, j, arrived, &restOutput{countedOutput: counted, skip: counted.written})
 		if !errors.Is(err, errGone) {
 			return err
 		}
 	}
-	outcome := d.attest(ctx, name, t)
+	outcome := r.attest(ctx, name, t)
 	if outcome == ticket.NotRun && !counted.began {
 		return refusal.New(refusal.TicketVoid, "the home of the ticket can't be reached; its backup has closed the ticket")
 	}
@@ -168,10 +168,10 @@
 
 // useAt uses a ticket at another host. It fails with errGone where that host
 // can't be reached or is not the ticket's home any more.
-func (d *Desk) useAt(ctx context.Context, host member.Self, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+func (r *Relay) useAt(ctx context.Context, host member.Self, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
 	args := &peer.TicketUseArgs{Ticket: t, Job: *j, Age: time.Since(arrived)}
 	var reply peer.TicketReply
-	if err := d.reach(ctx, host, "TicketUse", args, &reply); err != nil {
+	if err := r.reach(ctx, host, "TicketUse", args, &reply); err != nil {
 		return err
 	}
 	if err := fromPeer(reply.Refusal); err != nil {
@@ -183,7 +183,7 @@
 	read := func(offset int) (ticket.Part, error) {
 		args := &peer.TicketReadArgs{Ticket: t, Account: j.Account, Hash: j.Hash(), Offset: offset}
 		var reply peer.TicketReadReply
-		if err := d.reach(ctx, host, "TicketRead", args, &reply); err != nil {
+		if err := r.reach(ctx, host, "TicketRead", args, &reply); err != nil {
 			return ticket.Part{}, err
 		}
 		if err := fromPeer(reply.Refusal); err != nil {
@@ -197,23 +197,23 @@
 	return copyParts(read, out)
 }
 
-// useHeir asks who inherited from a ticket's home.
-func (d *Desk) useHeir(ctx context.Context, heir member.Former, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
-	if heir == formerOf(d.fleet.Self()) {
-		return d.useEstate(t, j, out)
+// useSuccessor asks who received from a ticket's home.
+func (r *Relay) useSuccessor(ctx context.Context, successor member.Former, t ticket.Token, j *job.Job, arrived time.Time, out job.Output) error {
+	if successor == formerOf(r.fleet.Self()) {
+		return r.useReceived(t, j, out)
 	}
-	host, ok := d.fleet.Find(heir.Host)
-	if !ok || host.Self.Incarnation != heir.Incarnation {
+	host, ok := r.fleet.Find(successor.Host)
+	if !ok || host.Self.Incarnation != successor.Incarnation {
 		return errGone
 	}
-	return d.useAt(ctx, host.Self, t, j, arrived, out)
+	return r.useAt(ctx, host.Self, t, j, arrived, out)
 }
 
-// useEstate answers a ticket from an estate that this host holds.
-func (d *Desk) useEstate(t ticket.Token, j *job.Job, out job.Output) error {
-	d.mu.Lock()
-	settled, err := d.heir.Use(t, j.Account, j.Hash())
-	d.mu.Unlock()
+// useReceived answers a ticket from a handover that this host holds.
+func (r *Relay) useReceived(t ticket.Token, j *job.Job, out job.Output) error {
+	r.mu.Lock()
+	settled, err := r.successor.Use(t, j.Account, j.Hash())
+	r.mu.Unlock()
 	if err != nil {
 		e := refusal.Of(err)
 		if e.Code == refusal.HomeGone {
@@ -230,10 +230,10 @@
 
 // reach calls a host and tries again where the link broke or the host refused,
 // as one does that is starting. What it calls may be repeated.
-func (d *Desk) reach(ctx context.Context, host member.Self, method string, args, reply any) error {
+func (r *Relay) reach(ctx context.Context, host member.Self, method string, args, reply any) error {
 	for range reachTries {
 		call, cancel := context.WithTimeout(ctx, max(useTime, readTime))
-		err := d.fleet.Call(call, host, method, args, reply)
+		err := r.fleet.Call(call, host, method, args, reply)
 		cancel()
 		if err == nil {
 			return nil
@@ -246,51 +246,51 @@
 	return errGone
 }
 
-// attest asks a ticket's backup, or who inherited from it, what became of the
+// attest asks a ticket's backup, or who received from it, what became of the
 // ticket.
-func (d *Desk) attest(ctx context.Context, name ticket.Name, t ticket.Token) ticket.Outcome {
+func (r *Relay) attest(ctx context.Context, name ticket.Name, t ticket.Token) ticket.Outcome {
 	if name.Backup.Host == "" {
 		return ticket.Unknown
 	}
-	if name.Backup.Host == d.fleet.Self().ID {
-		return d.attestHere(t)
+	if name.Backup.Host == r.fleet.Self().ID {
+		return r.attestHere(t)
 	}
-	if outcome := d.attestAt(ctx, name.Backup.Host, t); outcome == ticket.NotRun {
+	if outcome := r.attestAt(ctx, name.Backup.Host, t); outcome == ticket.NotRun {
 		return outcome
 	}
-	if heir, ok := d.fleet.Successor(name.Backup); ok {
-		if heir == formerOf(d.fleet.Self()) {
-			return d.attestHere(t)
+	if successor, ok := r.fleet.Successor(name.Backup); ok {
+		if successor == formerOf(r.fleet.Self()) {
+			return r.attestHere(t)
 		}
-		return d.attestAt(ctx, heir.Host, t)
+		return r.attestAt(ctx, successor.Host, t)
 	}
 	return ticket.Unknown
 }
 
-func (d *Desk) attestAt(ctx context.Context, id plan.HostID, t ticket.Token) ticket.Outcome {
-	host, ok := d.fleet.Find(id)
+func (r *Relay) attestAt(ctx context.Context, id plan.HostID, t ticket.Token) ticket.Outcome {
+	host, ok := r.fleet.Find(id)
 	if !ok {
 		return ticket.Unknown
 	}
 	var reply peer.AttestReply
-	if err := d.reach(ctx, host.Self, "Attest", &peer.TicketArgs{Ticket: t}, &reply); err != nil {
+	if err := r.reach(ctx, host.Self, "Attest", &peer.TicketArgs{Ticket: t}, &reply); err != nil {
 		return ticket.Unknown
 	}
 	return reply.Outcome
 }
 
-// attestHere answers as backup, or as heir of a backup that left.
-func (d *Desk) attestHere(t ticket.Token) ticket.Outcome {
+// attestHere answers as backup, or as successor of a backup that left.
+func (r *Relay) attestHere(t ticket.Token) ticket.Outcome {
 	name, err := ticket.Parse(t)
 	if err != nil {
 		return ticket.Unknown
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if name.Backup == formerOf(d.fleet.Self()) {
-		return d.backup.Attest(time.Now(), t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if name.Backup == formerOf(r.fleet.Self()) {
+		return r.backup.Attest(time.Now(), t)
 	}
-	return d.heir.Attest(t)
+	return r.successor.Attest(t)
 }
 
 func fromPeer(r peer.Refusal) *refusal.Error {
--- a/ticket/backup.go
+++ b/ticket/backup.go
@@ -116,8 +116,8 @@
 
 // HandOver returns what a successor needs. It must only be called on a sealed
 // backup.
-func (b *Backup) HandOver() Estate {
-	out := Estate{Of: b.self, Forgotten: b.forgotten}
+func (b *Backup) HandOver() Handover {
+	out := Handover{Of: b.self, Forgotten: b.forgotten}
 	for t, entry := range b.held {
 		if !entry.closed {
 			out.Intents = append(out.Intents, t)
--- a/ticket/home.go
+++ b/ticket/home.go
@@ -306,8 +306,8 @@
 
 // HandOver returns what a successor needs. It must only be called on a sealed
 // home that is not busy.
-func (h *Home) HandOver() Estate {
-	out := Estate{Of: h.self, Spent: h.spent}
+func (h *Home) HandOver() Handover {
+	out := Handover{Of: h.self, Spent: h.spent}
 	for _, r := range h.records {
 		out.Records = append(out.Records, Settled{
 			Token: r.Token, Account: r.Account, Hash: r.Hash,
--- a/ticket/model_test.go
+++ b/ticket/model_test.go
@@ -48,12 +48,12 @@
 
 // model is one state of the system.
 type model struct {
-	flaw   flaw
-	now    time.Time
-	home   *Home
-	backup *Backup
-	heir   *Heir
-	token  Token
+	flaw      flaw
+	now       time.Time
+	home      *Home
+	backup    *Backup
+	successor *Successor
+	token     Token
 	// Messages in the network. They are never taken out: a message may come
 	// late, twice or not at all.
 	intentSent, ackOK, ackNo bool
@@ -68,9 +68,9 @@
 func newModel(f flaw) *model {
 	m := &model{
 		flaw: f, now: modelStart, homeUp: true, backupUp: true,
-		home:   NewHome(homeName, []byte("key"), modelLife, modelMost),
-		backup: NewBackup(backupName, modelLife, modelMost),
-		heir:   NewHeir(modelLife),
+		home:      NewHome(homeName, []byte("key"), modelLife, modelMost),
+		backup:    NewBackup(backupName, modelLife, modelMost),
+		successor: NewSuccessor(modelLife),
 	}
 	token, err := m.home.Mint(m.now, "account", backupName)
 	if err != nil {
@@ -184,9 +184,9 @@
 				return true
 			}
 		}
-		estate := m.home.HandOver()
-		estate.Last = true
-		m.heir.Adopt(m.now, estate)
+		handover := m.home.HandOver()
+		handover.Last = true
+		m.successor.Adopt(m.now, handover)
 		m.homeLeft = true
 		return true
 	}},
@@ -195,19 +195,19 @@
 			return false
 		}
 		m.backup.Seal()
-		estate := m.backup.HandOver()
-		estate.Last = true
-		m.heir.Adopt(m.now, estate)
+		handover := m.backup.HandOver()
+		handover.Last = true
+		m.successor.Adopt(m.now, handover)
 		m.backupLeft = true
 		return true
 	}},
 	{"caller uses the ticket at the successor", func(m *model) bool {
-		_, err := m.heir.Use(m.token, "account", modelHash)
+		_, err := m.successor.Use(m.token, "account", modelHash)
 		m.note(err)
 		return true
 	}},
 	{"successor is asked for the backup", func(m *model) bool {
-		if m.heir.Attest(m.token) == NotRun {
+		if m.successor.Attest(m.token) == NotRun {
 			m.saidNotRun = true
 		}
 		return true
@@ -223,7 +223,7 @@
 		if m.backupUp {
 			m.backup.Expire(m.now)
 		}
-		m.heir.Expire(m.now)
+		m.successor.Expire(m.now)
 		return true
 	}},
 }
@@ -236,14 +236,14 @@
 	}
 	entry, held := m.backup.held[m.token]
 	_, forgot := m.backup.forgotten[homeName]
-	estates := []string{}
-	for of, in := range m.heir.estates {
+	handovers := []string{}
+	for of, in := range m.successor.handovers {
 		settled := in.records[m.token]
-		estates = append(estates, fmt.Sprint(of, settled.Outcome, settled.Reason, in.intents[m.token], len(in.forgotten), in.spent, in.at))
+		handovers = append(handovers, fmt.Sprint(of, settled.Outcome, settled.Reason, in.intents[m.token], len(in.forgotten), in.spent, in.at))
 	}
-	slices.Sort(estates)
+	slices.Sort(handovers)
 	return fmt.Sprint(phase, "|", held, entry, forgot, "|", m.home.spent, m.home.sealed, m.backup.sealed, m.homeUp, m.backupUp, m.homeLeft, m.backupLeft,
-		m.intentSent, m.ackOK, m.ackNo, m.begun, m.waiting, m.runs, m.saidNotRun, m.now.Unix(), strings.Join(estates, ";"))
+		m.intentSent, m.ackOK, m.ackNo, m.begun, m.waiting, m.runs, m.saidNotRun, m.now.Unix(), strings.Join(handovers, ";"))
 }
 
 // violation says what the state breaks, or nothing.
@@ -260,7 +260,7 @@
 // clone returns a copy that shares nothing that changes.
 func (m *model) clone() *model {
 	out := *m
-	home, backup, heir := *m.home, *m.backup, *m.heir
+	home, backup, successor := *m.home, *m.backup, *m.successor
 	home.records = map[Token]*Record{}
 	for t, r := range m.home.records {
 		record := *r
@@ -269,13 +269,13 @@
 	home.issued = slices.Clone(m.home.issued)
 	backup.held = maps.Clone(m.backup.held)
 	backup.forgotten = maps.Clone(m.backup.forgotten)
-	heir.estates = map[member.Former]*inherited{}
-	for of, in := range m.heir.estates {
-		estate := *in
-		estate.records, estate.intents, estate.forgotten = maps.Clone(in.records), maps.Clone(in.intents), maps.Clone(in.forgotten)
-		heir.estates[of] = &estate
+	successor.handovers = map[member.Former]*received{}
+	for of, in := range m.successor.handovers {
+		handover := *in
+		handover.records, handover.intents, handover.forgotten = maps.Clone(in.records), maps.Clone(in.intents), maps.Clone(in.forgotten)
+		successor.handovers[of] = &handover
 	}
-	out.home, out.backup, out.heir = &home, &backup, &heir
+	out.home, out.backup, out.successor = &home, &backup, &successor
 	return &out
 }
 
--- a/ticket/estate.go
+++ b/ticket/successor.go
@@ -7,9 +7,9 @@
 	"mulberrydyke/plan"
 )
 
-// Estate is what a host handed over at its planned stop. It was sealed before,
+// Handover is what a host handed over at its planned stop. It was sealed before,
 // so nothing can be added to it.
-type Estate struct {
+type Handover struct {
 	Of member.Former
 	// Records are the tickets that the host was home to and that were used.
 	Records []Settled
@@ -19,20 +19,20 @@
 	Intents []Token
 	// Forgotten is Backup's own record of what it forgot.
 	Forgotten map[member.Former]Sequence
-	// Last marks the estate's last part. Nothing is answered before it came.
+	// Last marks the handover's last part. Nothing is answered before it came.
 	Last bool
 }
 
-// estateMost bounds the estates that one host holds.
-const estateMost = 64
+// handoverMost bounds the handovers that one host holds.
+const handoverMost = 64
 
-// Heir holds the estates of hosts that left.
-type Heir struct {
-	life    time.Duration
-	estates map[member.Former]*inherited
+// Successor holds the handovers of hosts that left.
+type Successor struct {
+	life      time.Duration
+	handovers map[member.Former]*received
 }
 
-type inherited struct {
+type received struct {
 	records map[Token]Settled
 	spent   Sequence
 	intents map[Token]bool
@@ -43,21 +43,21 @@
 	at        time.Time
 }
 
-// NewHeir returns an heir that holds nothing.
-func NewHeir(life time.Duration) *Heir {
-	return &Heir{life: life, estates: map[member.Former]*inherited{}}
+// NewSuccessor returns an successor that holds nothing.
+func NewSuccessor(life time.Duration) *Successor {
+	return &Successor{life: life, handovers: map[member.Former]*received{}}
 }
 
-// Adopt takes an estate, or a further part of one. It returns false where no
+// Adopt takes a handover, or a further part of one. It returns false where no
 // more fit.
-func (h *Heir) Adopt(now time.Time, e Estate) bool {
-	in := h.estates[e.Of]
+func (h *Successor) Adopt(now time.Time, e Handover) bool {
+	in := h.handovers[e.Of]
 	if in == nil {
-		if len(h.estates) >= estateMost {
+		if len(h.handovers) >= handoverMost {
 			return false
 		}
-		in = &inherited{records: map[Token]Settled{}, intents: map[Token]bool{}, forgotten: map[member.Former]Sequence{}, at: now}
-		h.estates[e.Of] = in
+		in = &received{records: map[Token]Settled{}, intents: map[Token]bool{}, forgotten: map[member.Former]Sequence{}, at: now}
+		h.handovers[e.Of] = in
 	}
 	for _, r := range e.Records {
 		in.records[r.Token] = r
@@ -75,12 +75,12 @@
 
 // Use answers for a home that left. It fails with a RefusedError; a ticket
 // that the home never used was not run, since the home was sealed.
-func (h *Heir) Use(t Token, account plan.AccountID, hash Hash) (Settled, error) {
+func (h *Successor) Use(t Token, account plan.AccountID, hash Hash) (Settled, error) {
 	n, err := Parse(t)
 	if err != nil {
 		return Settled{}, &RefusedError{Reason: Forged, Outcome: Unknown}
 	}
-	in := h.estates[n.Home]
+	in := h.handovers[n.Home]
 	if in == nil || !in.complete {
 		return Settled{}, &RefusedError{Reason: HomeGone, Outcome: Unknown}
 	}
@@ -99,12 +99,12 @@
 }
 
 // Attest answers for a backup that left.
-func (h *Heir) Attest(t Token) Outcome {
+func (h *Successor) Attest(t Token) Outcome {
 	n, err := Parse(t)
 	if err != nil {
 		return Unknown
 	}
-	in := h.estates[n.Backup]
+	in := h.handovers[n.Backup]
 	if in == nil || !in.complete || in.intents[t] {
 		return Unknown
 	}
@@ -114,20 +114,20 @@
 	return NotRun
 }
 
-// Expire forgets estates whose tickets have all expired.
-func (h *Heir) Expire(now time.Time) {
-	for of, in := range h.estates {
+// Expire forgets handovers whose tickets have all expired.
+func (h *Successor) Expire(now time.Time) {
+	for of, in := range h.handovers {
 		if now.Sub(in.at) >= time.Duration(2*clockMargin*float64(h.life)) {
-			delete(h.estates, of)
+			delete(h.handovers, of)
 		}
 	}
 }
 
-// HandOver returns all estates, for the next successor.
-func (h *Heir) HandOver() []Estate {
-	var out []Estate
-	for of, in := range h.estates {
-		e := Estate{Of: of, Spent: in.spent, Forgotten: in.forgotten, Last: in.complete}
+// HandOver returns all handovers, for the next successor.
+func (h *Successor) HandOver() []Handover {
+	var out []Handover
+	for of, in := range h.handovers {
+		e := Handover{Of: of, Spent: in.spent, Forgotten: in.forgotten, Last: in.complete}
 		for _, r := range in.records {
 			e.Records = append(e.Records, r)
 		}
