--- a/fault/fleet_test.go
+++ b/fault/fleet_test.go
@@ -45,8 +45,10 @@
 	callers, operators, peers string
 	settings                  string
 	command                   *exec.Cmd
-	exited                    chan error
-	log                       *bytes.Buffer
+	exited                    chan struct{}
+	// failure is how the process ended, once exited is closed.
+	failure error
+	log     *bytes.Buffer
 }
 
 // fleet is a set of real hosts. Each failure domain reaches the platform, the
@@ -247,18 +249,27 @@
 	if err := h.command.Start(); err != nil {
 		f.t.Fatal(err)
 	}
-	h.exited = make(chan error, 1)
+	h.exited = make(chan struct{})
 	command, exited := h.command, h.exited
-	go func() { exited <- command.Wait() }()
+	go func() {
+		h.failure = command.Wait()
+		close(exited)
+	}()
 	f.t.Cleanup(func() { _ = command.Process.Kill() })
 }
 
+// wait waits until the process has ended and says how.
+func (h *process) wait() error {
+	<-h.exited
+	return h.failure
+}
+
 func (h *process) signal(s syscall.Signal) { _ = h.command.Process.Signal(s) }
 
 // kill ends a host at once and waits until it is gone.
 func (f *fleet) kill(h *process) {
 	h.signal(syscall.SIGKILL)
-	<-h.exited
+	_ = h.wait()
 }
 
 // eventually polls until a condition holds, and fails the test after the bound.
--- a/fault/matrix_test.go
+++ b/fault/matrix_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"syscall"
 	"testing"
@@ -210,7 +211,8 @@
 	}
 }
 
-func runCell(t *testing.T, s step, f injection) {
+// runCell brings the requests to a step and the faults about one after the other.
+func runCell(t *testing.T, s step, faults ...injection) {
 	o := defaultOptions()
 	o.engine.Batch, o.engine.Step, o.silence = 2, 25*time.Millisecond, time.Second
 	c := &cell{fleet: newFleet(t, o), t: t}
@@ -222,11 +224,16 @@
 	wait.Go(func() { c.try(c.hosts[1], c.commission) })
 	wait.Go(func() { c.try(c.hosts[2], c.draft) })
 	s.reached(c)
-	heal := f.do(c)
-	time.Sleep(holdTime)
+	var heals []func()
+	for _, f := range faults {
+		if heal := f.do(c); heal != nil {
+			heals = append(heals, heal)
+		}
+		time.Sleep(holdTime)
+	}
 	s.release(c)
 	c.resend()
-	if heal != nil {
+	for _, heal := range heals {
 		heal()
 	}
 	wait.Wait()
@@ -248,3 +255,18 @@
 		}
 	}
 }
+
+// TestPairsOfFaults brings two faults about at a step, drawn by a fixed seed.
+func TestPairsOfFaults(t *testing.T) {
+	const pairs, seed = 24, 20261204
+	random := rand.New(rand.NewPCG(seed, seed))
+	for i := range pairs {
+		s, all := steps()[random.IntN(len(steps()))], injections()
+		first := random.IntN(len(all))
+		second := (first + 1 + random.IntN(len(all)-1)) % len(all)
+		t.Run(fmt.Sprintf("%d %s, then %s at %s", i, all[first].name, all[second].name, s.name), func(t *testing.T) {
+			t.Parallel()
+			runCell(t, s, all[first], all[second])
+		})
+	}
+}
--- a/fault/stream_test.go
+++ b/fault/stream_test.go
@@ -46,7 +46,7 @@
 	if n := strings.Count(a.body, "chat.completion.chunk"); a.err != nil || n != c.output || !strings.HasSuffix(a.body, "data: [DONE]\n\n") {
 		t.Errorf("the stream was cut: %d events, %v", n, a.err)
 	}
-	if err := <-f.hosts[0].exited; err != nil {
+	if err := f.hosts[0].wait(); err != nil {
 		t.Errorf("exit: %v\n%s", err, f.hosts[0].log)
 	}
 }
@@ -64,7 +64,7 @@
 			wait.Go(func() { checkWhole(t, f.send(target, c), c) })
 		}
 		h.signal(syscall.SIGTERM)
-		if err := <-h.exited; err != nil {
+		if err := h.wait(); err != nil {
 			t.Errorf("%s: exit: %v\n%s", h.id, err, h.log)
 		}
 		wait.Wait()
--- a/fault/ticket_test.go
+++ b/fault/ticket_test.go
@@ -130,7 +130,7 @@
 	unused.ticket = f.ticket(f.hosts[0], unused)
 	want := content(t, f.send(f.hosts[2], c))
 	f.hosts[0].signal(syscall.SIGTERM)
-	if err := <-f.hosts[0].exited; err != nil {
+	if err := f.hosts[0].wait(); err != nil {
 		t.Fatalf("exit: %v\n%s", err, f.hosts[0].log)
 	}
 	for _, h := range f.hosts[1:] {
@@ -177,7 +177,7 @@
 	f.awaitRun("commission 5")
 	f.hosts[0].signal(syscall.SIGTERM)
 	wait.Wait()
-	if err := <-f.hosts[0].exited; err != nil {
+	if err := f.hosts[0].wait(); err != nil {
 		t.Errorf("exit: %v\n%s", err, f.hosts[0].log)
 	}
 }
@@ -191,7 +191,7 @@
 	want := content(t, f.send(f.hosts[0], c))
 	for _, h := range f.hosts[:2] {
 		h.signal(syscall.SIGTERM)
-		if err := <-h.exited; err != nil {
+		if err := h.wait(); err != nil {
 			t.Fatalf("exit: %v\n%s", err, h.log)
 		}
 	}
