Judge lateness at the grant, and trim overloaded tiers earlier

Cause: at twice the capacity 16.5% of all tokens were late: requests were granted just before their first token was due, and a tier far behind kept twice its target of late requests. Change: a request must be granted at 0.8 of its target to count as in time; a tier is far behind at 1.2 times its target in place of 2. Ruled out: serving late requests less often (each 16th pick): tier 2's p99 at 1.3 times capacity rose from 2.5 to 6.1 s for no gain; taken back to each 8th. Conclusion: what is left is late requests of accounts within their share, served before other accounts' timely ones: fairness between accounts goes before waste.

--- a/pool/queue.go
+++ b/pool/queue.go
@@ -36,7 +36,8 @@
 	huge bool
 	// suspect says that the content has a crash to its name.
 	suspect bool
-	// deadline is when the first token is due.
+	// deadline is when the request must be granted, so that its first token
+	// comes in time.
 	deadline time.Time
 	// serial orders items by arrival at the scheduler.
 	serial uint64
@@ -374,7 +375,7 @@
 	latePart = 0.8
 	// farBehindPart is the multiple of the target above which a tier is far
 	// behind.
-	farBehindPart = 2.0
+	farBehindPart = 1.2
 	// waitLeast is a wait for which nothing is refused: a caller that is refused
 	// and asks again would wait longer.
 	waitLeast = 2 * time.Second
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -170,7 +170,7 @@
 		ask:      *ask,
 		lane:     ordinary,
 		work:     s.workOf(ask),
-		deadline: ask.Arrived.Add(ask.Target.FirstToken.Std()),
+		deadline: ask.Arrived.Add(time.Duration(latePart * float64(ask.Target.FirstToken.Std()))),
 		serial:   s.serial,
 	}
 	it.huge = ask.Prompt > bulkyPrompt
