Never let a lower tier take the room that a higher one leaves free

Cause: the room that a tier leaves free after waits above it is kept per tier, so a tier that had just begun to send left less free than the one above it. Change: what tiers leave free never falls from one tier to the next lower.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -52,12 +52,14 @@
 }
 
 // reserves returns what each tier leaves free for the higher ones that sent
-// requests lately.
+// requests lately. It never falls from a tier to the next lower one, so that a
+// lower tier can't take a place that a higher one has to leave free.
 func (s *Scheduler) reserves(now time.Time) [plan.LowestTier + 1]float64 {
 	var out [plan.LowestTier + 1]float64
 	active := 0
 	for t := plan.HighestTier; t <= plan.LowestTier; t++ {
-		out[t] = tierReserve*float64(min(active, reserveTiers)) + s.tiers[t].extra
+		own := tierReserve*float64(min(active, reserveTiers)) + s.tiers[t].extra
+		out[t] = max(own, out[t-1])
 		if now.Sub(s.tiers[t].seen) < reserveTime {
 			active++
 		}
