--- a/pool/machine_test.go
+++ b/pool/machine_test.go
@@ -237,11 +237,15 @@
 	})
 }
 
-// fixedSeed makes random tests draw the same events in each run, unless another
-// seed is given on the command line.
+// fixedSeed makes random tests draw the same events in each run, and more of them
+// than by default, unless the command line says otherwise.
 func fixedSeed(t *testing.T) {
-	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
-		if err := seed.Value.Set("20261204"); err != nil {
+	for name, value := range map[string][2]string{"rapid.seed": {"0", "20261204"}, "rapid.checks": {"100", "2000"}} {
+		f := flag.Lookup(name)
+		if f == nil || f.Value.String() != value[0] {
+			continue
+		}
+		if err := f.Value.Set(value[1]); err != nil {
 			t.Fatal(err)
 		}
 	}
