Keep requests off upstreams that are too slow for their target; survey upstreams cheaper

Cause: with one of two engines at a third of its speed, 6% of the highest tier's drafts were late: a pool of two has no median to eject by, and the least loaded engine was at times the slow one. A turn surveyed 86 upstreams with a division and the reserves each, also where there was no room. Change: an upstream whose tokens come slower than a request's target is used only where no other has room; the free part is kept by multiplication, reserves are worked out only where there is room.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -14,8 +14,12 @@
 		return
 	}
 	for {
-		v := s.survey(now)
-		if v.room <= 0 || !s.grantFloor(now, v) && !s.grantTier(now, v) {
+		v := s.survey()
+		if v.room <= 0 {
+			return
+		}
+		v.reserve = s.reserves(now)
+		if !s.grantFloor(now, v) && !s.grantTier(now, v) {
 			return
 		}
 	}
@@ -35,8 +39,8 @@
 }
 
 // survey looks at every upstream once.
-func (s *Scheduler) survey(now time.Time) view {
-	v := view{reserve: s.reserves(now)}
+func (s *Scheduler) survey() view {
+	var v view
 	sum, n := 0, 0
 	for _, b := range s.backends {
 		if !b.live || b.health == down {
@@ -45,7 +49,7 @@
 		sum += b.inFlight
 		n++
 		v.healthy = v.healthy || b.health == healthy
-		v.room = max(v.room, 1-float64(b.inFlight)/b.limit)
+		v.room = max(v.room, b.free())
 	}
 	v.bound = spread*float64(sum+1)/float64(max(1, n)) + 1
 	return v
@@ -209,11 +213,12 @@
 
 // choose returns the upstream for a request, or nil where none has room. A
 // request with a prefix goes to the upstream that the prefix prefers among
-// those whose load is near the mean; any other goes to the least loaded.
+// those whose load is near the mean; any other goes to the least loaded. Upstreams
+// that are too slow for the request's target are used only where no other has room.
 func (s *Scheduler) choose(now time.Time, v view, it *item, reserve float64) *backend {
 	allowed := s.allowed(it.ask.Content)
-	var best, near *backend
-	var bestLoad float64
+	var best, near, slow *backend
+	var bestLoad, slowLoad float64
 	var nearScore uint64
 	for _, b := range s.backends {
 		if allowed != nil && !slices.Contains(allowed, b) {
@@ -225,7 +230,14 @@
 		if b.id == it.ask.Avoid && len(s.backends) > 1 {
 			continue
 		}
-		if load := b.load(); best == nil || load < bestLoad {
+		load := b.load()
+		if b.tooSlow(it.ask.Target) {
+			if slow == nil || load < slowLoad {
+				slow, slowLoad = b, load
+			}
+			continue
+		}
+		if best == nil || load < bestLoad {
 			best, bestLoad = b, load
 		}
 		if it.ask.Prefix == 0 || float64(b.inFlight+1) > v.bound {
@@ -235,10 +247,13 @@
 			near, nearScore = b, score
 		}
 	}
-	if near != nil {
+	switch {
+	case near != nil:
 		return near
+	case best != nil:
+		return best
 	}
-	return best
+	return slow
 }
 
 // allowed limits a content that never finished to few upstreams at once, so
--- a/pool/scheduler_test.go
+++ b/pool/scheduler_test.go
@@ -258,6 +258,28 @@
 	}
 }
 
+// TestSlowUpstreamIsLeftToPatientRequests makes one of two upstreams too slow for
+// the target of a class. Requests of that class must go to the other one as long
+// as it has room, others may use both.
+func TestSlowUpstreamIsLeftToPatientRequests(t *testing.T) {
+	s := newTestScheduler(2)
+	s.byID["u0"].between, s.byID["u0"].samples = 50*time.Millisecond, stragglerSamples
+	s.byID["u1"].between, s.byID["u1"].samples = 60*time.Millisecond, stragglerSamples
+	urgent, patient := testAsk(1, 1, "a"), testAsk(2, 1, "a")
+	urgent.Target.BetweenTokens = plan.Duration(55 * time.Millisecond)
+	second := urgent
+	second.ID.Sequence = 3
+	var got []plan.UpstreamID
+	for _, a := range []Ask{urgent, second, patient} {
+		for _, c := range ask(s, start, a) {
+			got = append(got, c.Upstream)
+		}
+	}
+	if diff := cmp.Diff([]plan.UpstreamID{"u0", "u0", "u1"}, got); diff != "" {
+		t.Errorf("upstreams (-want +got):\n%s", diff)
+	}
+}
+
 func TestTwoCrashesQuarantine(t *testing.T) {
 	s := newTestScheduler(3)
 	crashed := map[plan.UpstreamID]bool{}
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -71,7 +71,9 @@
 	slots  float64
 	// limit is the adaptive bound of concurrent runs. It lies between
 	// limitLeast and limitMost times slots.
-	limit    float64
+	limit float64
+	// perRun is the part of the limit that one run takes.
+	perRun   float64
 	cutAt    time.Time
 	inFlight int
 	work     Work
@@ -96,7 +98,7 @@
 func newBackend(u plan.Upstream, part float64) *backend {
 	b := &backend{id: u.ID, hash: xxhash.Sum64String(string(u.ID))}
 	b.size(u, part)
-	b.limit = b.slots
+	b.setLimit(b.slots)
 	return b
 }
 
@@ -105,7 +107,7 @@
 func (b *backend) size(u plan.Upstream, part float64) {
 	b.live = u.State == plan.Live
 	b.slots = max(1, float64(u.Slots)*part/float64(max(1, len(u.Models))))
-	b.limit = min(max(b.limit, b.least()), b.slots*limitMost)
+	b.setLimit(min(max(b.limit, b.least()), b.slots*limitMost))
 }
 
 // bound returns the number of runs at which the upstream is full for requests
@@ -116,6 +118,11 @@
 // upstream of the pool is healthy.
 func (b *backend) lastResort() bool { return b.live && b.health == probation && b.inFlight == 0 }
 
+func (b *backend) setLimit(limit float64) { b.limit, b.perRun = limit, 1/limit }
+
+// free is the part of the limit that no run takes.
+func (b *backend) free() float64 { return 1 - float64(b.inFlight)*b.perRun }
+
 func (b *backend) least() float64 { return max(1, b.slots*limitLeast) }
 
 // room says whether the upstream may take a request now, where the given part
@@ -167,7 +174,7 @@
 		return
 	}
 	if float64(b.inFlight) >= b.limit-1 {
-		b.limit = min(b.limit+1/b.limit, b.slots*limitMost)
+		b.setLimit(min(b.limit+1/b.limit, b.slots*limitMost))
 	}
 }
 
@@ -176,7 +183,7 @@
 		return
 	}
 	b.cutAt = now
-	b.limit = max(b.least(), b.limit*limitBackoff)
+	b.setLimit(max(b.least(), b.limit*limitBackoff))
 }
 
 // takeDown keeps new work away for a span that doubles at each failure.
@@ -203,6 +210,11 @@
 	return xxhash.Sum64(raw[:])
 }
 
+// tooSlow says whether the upstream's tokens come slower than a target allows.
+func (b *backend) tooSlow(t plan.Target) bool {
+	return t.BetweenTokens > 0 && b.samples >= stragglerSamples && b.between > t.BetweenTokens.Std()
+}
+
 // load is the expected wait on the upstream, relative to the others.
 func (b *backend) load() float64 {
 	speed := 1.0
