--- a/placement/client.go
+++ b/placement/client.go
@@ -90,7 +90,8 @@
 	pool     pool.ID
 	ask      pool.Ask
 	upstream plan.UpstreamID
-	// granter is the host that granted; a zero ID means this host fallback.
+	// granter is the host that granted; a zero ID means the
+	// server of this host that decides by itself.
 	granter member.Self
 	server  *Server
 	mu      sync.Mutex
