Give each host its own domain's proxies in the tests of cut domains

Ruled out: a fault of the product; outside the tests a version names one content. Change: all hosts are started anew together until each has its own domain's lists. Conclusion: the check and its bounds are as they were.

--- a/fault/fleet_test.go
+++ b/fault/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -117,9 +118,54 @@
 		f.start(h)
 	}
 	f.awaitReady()
+	f.awaitOwnLists()
 	return f
 }
 
+// awaitOwnLists starts all hosts anew until each has the addresses of its own
+// domain's proxies. The domains' platforms publish other addresses under one
+// version, so a host that hears of a version from another domain before it has
+// read its platform takes up that domain's.
+func (f *fleet) awaitOwnLists() {
+	const tries = 20
+	for range tries {
+		if !slices.ContainsFunc(f.hosts, func(h *process) bool { return !f.hasOwnLists(h) }) {
+			return
+		}
+		for _, h := range f.hosts {
+			f.kill(h)
+		}
+		for _, h := range f.hosts {
+			f.start(h)
+		}
+		f.awaitReady()
+	}
+	f.t.Fatal("hosts keep another domain's lists")
+}
+
+func (f *fleet) hasOwnLists(h *process) bool {
+	response, err := f.client.Get("http://" + h.operators + "/v1/lists")
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	var lists admin.Lists
+	if err := json.NewDecoder(response.Body).Decode(&lists); err != nil {
+		return false
+	}
+	for _, u := range lists.Upstreams {
+		if u.Address != f.via(h.domain, string(u.ID), "") {
+			return false
+		}
+	}
+	for _, x := range lists.Hosts {
+		if x.Peer != f.via(h.domain, string(x.ID), "") {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *fleet) serve(s interface {
 	Serve(string) (string, func(), error)
 }) string {
