Serve the users' platform: routes, connections, placement and gossip on every host

Cause: the product served its own stand-ins only; the platform lists routes, accounts and upstreams in a store that can only be read.

--- /dev/null
+++ b/dispatch/cost.go
@@ -0,0 +1,107 @@
+package dispatch
+
+import (
+	"time"
+
+	"mulberrydyke/call"
+	"mulberrydyke/route"
+)
+
+// The cost of an upstream is the time in milliseconds until the first event, and
+// terms in the same unit for what else speaks against it.
+const (
+	// readRate is the prompt tokens that an engine reads in a millisecond.
+	readRate = 75.0
+	// slotCost is what each running request adds to a step, over the steps
+	// until the first event.
+	slotCost = 0.5
+	// plainCost is what one running request of a plain service costs, relative
+	// to the service's slots.
+	plainCost = 60.0
+	// otherDomainCost is for the longer way and the price of the bytes.
+	otherDomainCost = 4.0
+	// intrudeShort is for a short prompt among long ones: long prompts hold up
+	// its tokens.
+	intrudeShort = 120.0
+	// intrudeLong is for a long prompt among short ones, whose tokens it holds
+	// up; intrudePerShort is for each of them.
+	intrudeLong     = 150.0
+	intrudePerShort = 8.0
+	// failureCost is for an upstream that fails all requests.
+	failureCost = 1500.0
+	// stallAfter is the wait for a first event beyond which an upstream is
+	// suspected to answer nobody, beside what its load explains.
+	stallAfter = 350 * time.Millisecond
+	// stallFactor is the cost of a millisecond of such a wait.
+	stallFactor = 2.0
+)
+
+// missing returns how many tokens of the prompt the engine has to read. The
+// engine that is the subject's home counts as having the shared parts.
+func (c *Core) missing(now time.Time, t *target, home bool, p *call.Prompt) int {
+	if len(p.Parts) < 2 {
+		return p.Tokens
+	}
+	if home {
+		return p.Own()
+	}
+	return c.cache.missing(now, t.upstream.ID, p)
+}
+
+// cost returns the cost of running a request on a target, which stands at index
+// i of its group.
+func (c *Core) cost(now time.Time, g *group, t *target, i int, class Class, missing int) float64 {
+	load := t.load()
+	cost := failureCost * max(0, t.failures-g.failureFloor())
+	if t.upstream.Domain != c.domain {
+		cost += otherDomainCost
+	}
+	stall := t.oldestWait(now) - stallAfter
+	if class == Plain {
+		cost += plainCost * float64(load.plain) / float64(max(1, t.upstream.Slots))
+	} else {
+		queue := float64(load.pending) / readRate
+		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
+		cost += queue + float64(missing)/readRate + slotCost*float64(load.running())
+		cost += g.overflow(load.running(), t.upstream.Slots)
+		cost += g.intrusion(i, class, load)
+	}
+	if stall > 0 {
+		cost += stallFactor * float64(stall) / float64(time.Millisecond)
+	}
+	return cost
+}
+
+// overflowCost is for each request beyond the slots: it waits for a whole other
+// request to end.
+const overflowCost = 40.0
+
+// overflow returns the cost of an engine whose slots are nearly taken.
+func (g *group) overflow(running, slots int) float64 {
+	if slots <= 0 {
+		return 0
+	}
+	return overflowCost * float64(max(0, running-slots*9/10))
+}
+
+// intrusion returns the cost of running a class on an engine that is meant for
+// the other.
+func (g *group) intrusion(i int, class Class, load work) float64 {
+	shortSide := i < g.shorts
+	switch {
+	case class == Short && !shortSide:
+		return intrudeShort
+	case class == Long && shortSide:
+		return intrudeLong + intrudePerShort*float64(load.short)
+	}
+	return 0
+}
+
+// Urgency returns the rank that an engine is given for a request: the account's
+// priority where it has one, else the route's.
+func Urgency(r *route.Route, a *route.Account) int {
+	if a != nil && a.HasPriority {
+		return a.Priority
+	}
+	return r.Priority
+}
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,276 @@
+// Package dispatch decides on which upstream a request runs. Every host decides
+// for itself, from what it runs, from what the other hosts last said of theirs,
+// and from how the upstreams behaved.
+//
+// A Core holds no clock and does no I/O: the present time is an argument.
+package dispatch
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"mulberrydyke/call"
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
+)
+
+// Class groups requests by what they ask of an upstream.
+type Class int
+
+// Classes of request.
+const (
+	// Plain requests go to services that run no model.
+	Plain Class = iota
+	// Short prompts are read between two tokens of other requests.
+	Short
+	// Long prompts hold up the tokens of all requests on their engine.
+	Long
+)
+
+// String returns the class's name in logs.
+func (c Class) String() string {
+	switch c {
+	case Plain:
+		return "plain"
+	case Short:
+		return "short"
+	case Long:
+		return "long"
+	}
+	return "unknown"
+}
+
+// longPrompt is the prompt length in tokens from which a request is Long: about
+// three quarters of a chunk that engines read in one step.
+const longPrompt = 3000
+
+// ClassOf returns the class of a request to a service.
+func ClassOf(s *route.Service, p *call.Prompt) Class {
+	switch {
+	case s.Engine == nil:
+		return Plain
+	case p.Tokens >= longPrompt:
+		return Long
+	}
+	return Short
+}
+
+// Query is a request that needs an upstream.
+type Query struct {
+	Service plan.ServiceID
+	Prompt  *call.Prompt
+	// Avoid lists upstreams that must not be taken.
+	Avoid []plan.UpstreamID
+	// Target is the latency within which the answer is on time.
+	Target time.Duration
+}
+
+// Lease is a place on an upstream that one request holds.
+type Lease struct {
+	Upstream *route.Upstream
+	Class    Class
+	// Missing is how many tokens of the prompt the engine is expected to read.
+	Missing int
+	// Cost is the expected time to the first event, and what else spoke
+	// against the upstream, as a time span.
+	Cost time.Duration
+	// Taken is when the lease was taken.
+	Taken time.Time
+	// Candidates is the number of upstreams that could have been taken.
+	Candidates int
+	target     *target
+	started    bool
+	ended      bool
+	prompt     *call.Prompt
+}
+
+// NoUpstreamError says that no upstream can take a request.
+type NoUpstreamError struct {
+	Service plan.ServiceID
+	// Listed is the number of upstreams that the service has, in any state.
+	Listed int
+}
+
+func (e *NoUpstreamError) Error() string { return "no upstream for service " + string(e.Service) }
+
+// Result is how a lease ended.
+type Result int
+
+// Results.
+const (
+	// Done means that the upstream answered whole.
+	Done Result = iota
+	// Failed means that the upstream answered with a failure of its own.
+	Failed
+	// Refused means that the upstream did not run the request.
+	Refused
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Broken means that the connection broke while the request was under way.
+	Broken
+	// Abandoned means that the caller left or its time ran out.
+	Abandoned
+)
+
+// String returns the result's name in logs.
+func (r Result) String() string {
+	return [...]string{"done", "failed", "refused", "unreachable", "broken", "abandoned"}[r]
+}
+
+// Core is the state that decisions are made from. It is safe for concurrent use.
+type Core struct {
+	mu     sync.Mutex
+	self   plan.HostID
+	domain plan.DomainID
+	// targets holds every listed upstream.
+	targets map[plan.UpstreamID]*target
+	// services groups the targets; each group is sorted by spread.
+	services map[plan.ServiceID]*group
+	peers    map[plan.HostID]*peerState
+	cache    *prefixes
+}
+
+// NewCore returns a Core for a host in a failure domain. CacheLife is how long a
+// part of a prompt is expected to stay in an engine's cache.
+func NewCore(self plan.HostID, domain plan.DomainID, cacheLife time.Duration) *Core {
+	return &Core{
+		self: self, domain: domain,
+		targets:  map[plan.UpstreamID]*target{},
+		services: map[plan.ServiceID]*group{},
+		peers:    map[plan.HostID]*peerState{},
+		cache:    newPrefixes(cacheLife),
+	}
+}
+
+// SetUpstreams takes up a new view of the upstreams. Leases on upstreams that
+// are gone stay valid until they end.
+func (c *Core) SetUpstreams(now time.Time, v *route.Upstreams) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id := range c.targets {
+		if v.ByID[id] == nil {
+			delete(c.targets, id)
+		}
+	}
+	c.services = map[plan.ServiceID]*group{}
+	for id, u := range v.ByID {
+		t := c.targets[id]
+		if t == nil || t.upstream.Address != u.Address || !t.upstream.Born.Equal(u.Born) {
+			t = newTarget(u)
+			c.targets[id] = t
+		}
+		t.upstream = u
+		g := c.services[u.Service]
+		if g == nil {
+			g = &group{}
+			c.services[u.Service] = g
+		}
+		g.targets = append(g.targets, t)
+	}
+	for _, g := range c.services {
+		g.spread()
+	}
+	c.peersChanged(now)
+}
+
+// Take chooses an upstream and takes a place on it. It fails with a
+// NoUpstreamError.
+func (c *Core) Take(now time.Time, q Query, s *route.Service) (*Lease, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.services[q.Service]
+	if g == nil {
+		return nil, &NoUpstreamError{Service: q.Service}
+	}
+	class := ClassOf(s, q.Prompt)
+	if class != Plain {
+		g.divide(now, s.Engine)
+	}
+	best := c.best(now, g, class, &q, false)
+	if best.target == nil {
+		best = c.best(now, g, class, &q, true)
+	}
+	if best.target == nil {
+		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
+	}
+	l := &Lease{
+		Upstream: best.target.upstream, Class: class, Missing: best.missing, Taken: now, target: best.target,
+		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
+	}
+	best.target.take(l)
+	if class != Plain {
+		c.cache.sent(now, best.target.upstream.ID, q.Prompt)
+		g.arrived(now, class, best.missing)
+	}
+	return l, nil
+}
+
+// choice is the best upstream found so far.
+type choice struct {
+	target     *target
+	missing    int
+	cost       float64
+	candidates int
+}
+
+// best returns the cheapest upstream. With desperate it also considers those
+// that failed lately.
+func (c *Core) best(now time.Time, g *group, class Class, q *Query, desperate bool) choice {
+	found := choice{cost: math.Inf(1)}
+	home := -1
+	if class == Long {
+		home = g.home(q.Prompt.Subject())
+	}
+	for i, t := range g.targets {
+		if t.upstream.State != route.Ready || avoided(q.Avoid, t.upstream.ID) {
+			continue
+		}
+		if !desperate && now.Before(t.shunnedUntil) {
+			continue
+		}
+		found.candidates++
+		missing := 0
+		if class != Plain {
+			missing = c.missing(now, t, i == home, q.Prompt)
+		}
+		cost := c.cost(now, g, t, i, class, missing)
+		if desperate {
+			cost += t.shunnedUntil.Sub(now).Seconds() * 1000
+		}
+		if cost < found.cost {
+			found.target, found.cost, found.missing = t, cost, missing
+		}
+	}
+	return found
+}
+
+func avoided(list []plan.UpstreamID, id plan.UpstreamID) bool {
+	for _, x := range list {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Started notes the first event, or the whole answer, of a lease.
+func (c *Core) Started(now time.Time, l *Lease) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.start()
+}
+
+// End gives a place back.
+func (c *Core) End(now time.Time, l *Lease, r Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	l.target.give(now, l, r)
+	if r == Refused || r == Unreachable {
+		c.cache.forget(l.Upstream.ID, l.prompt)
+	}
+}
--- /dev/null
+++ b/dispatch/group.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"mulberrydyke/route"
+)
+
+const (
+	// divideEvery is how often the engines are divided anew.
+	divideEvery = 500 * time.Millisecond
+	// rateSpan is the time over which arriving prompt tokens are averaged.
+	rateSpan = 2 * time.Second
+	// slotShare is the part of an engine's slots that short prompts should take.
+	slotShare = 0.6
+	// readShare is the part of an engine's time that long prompts should take.
+	readShare = 0.5
+	// divideGain is how much better another division must be to be taken.
+	divideGain = 0.85
+	// shortsAtFirst is the part of the engines for short prompts while no load
+	// is known.
+	shortsAtFirst = 0.4
+)
+
+// group is the upstreams of one service.
+type group struct {
+	// targets are sorted so that every leading part is spread over the failure
+	// domains. All hosts sort alike.
+	targets []*target
+	// shorts is how many of the leading targets are for short prompts.
+	shorts  int
+	divided time.Time
+	// longRate is this host's arriving prompt tokens of long requests a second,
+	// as of rateAt; othersRate is the same of its peers.
+	longRate, othersRate float64
+	rateAt               time.Time
+}
+
+// spread sorts the targets: the first of each domain, the second of each domain,
+// and so on.
+func (g *group) spread() {
+	sort.Slice(g.targets, func(i, j int) bool { return placeOf(g.targets[i]) < placeOf(g.targets[j]) })
+	seen := map[string]int{}
+	rank := make(map[*target]int, len(g.targets))
+	for _, t := range g.targets {
+		d := string(t.upstream.Domain)
+		rank[t] = seen[d]
+		seen[d]++
+	}
+	sort.SliceStable(g.targets, func(i, j int) bool { return rank[g.targets[i]] < rank[g.targets[j]] })
+}
+
+func placeOf(t *target) uint64 { return route.Hash("place", string(t.upstream.ID)) }
+
+// arrived counts the prompt tokens of a long request.
+func (g *group) arrived(now time.Time, class Class, missing int) {
+	if class != Long {
+		return
+	}
+	g.longRate = g.rate(now) + float64(missing)/rateSpan.Seconds()
+	g.rateAt = now
+}
+
+// rate returns this host's arriving prompt tokens a second.
+func (g *group) rate(now time.Time) float64 {
+	return g.longRate * math.Exp(-now.Sub(g.rateAt).Seconds()/rateSpan.Seconds())
+}
+
+// divide decides anew how many engines are for short prompts, so that neither
+// side is the more loaded.
+func (g *group) divide(now time.Time, e *route.Engine) {
+	n := 0
+	shorts := 0
+	for _, t := range g.targets {
+		if t.upstream.State != route.Ready || now.Before(t.shunnedUntil) {
+			continue
+		}
+		n++
+		w := t.load()
+		shorts += w.short
+	}
+	if now.Sub(g.divided) < divideEvery && g.shorts > 0 {
+		return
+	}
+	g.divided = now
+	if g.shorts == 0 {
+		g.shorts = max(1, int(shortsAtFirst*float64(n)))
+	}
+	if n < 2 {
+		return
+	}
+	tokens := g.rate(now) + g.othersRate
+	busy := func(k int) float64 {
+		short := float64(shorts) / (float64(k) * slotShare * float64(max(1, e.Slots)))
+		long := tokens / (float64(n-k) * readShare * readRate * 1000)
+		return max(short, long)
+	}
+	best := min(max(1, g.shorts), n-1)
+	bar := busy(best) * divideGain
+	for k := 1; k < n; k++ {
+		if b := busy(k); b < bar {
+			best, bar = k, b
+		}
+	}
+	g.shorts = best
+}
+
+// home returns the index of the target that long prompts on a subject belong to,
+// by rendezvous hashing over the targets for them that can take work, or -1.
+func (g *group) home(subject string) int {
+	best, bar := -1, uint64(0)
+	for i := min(g.shorts, len(g.targets)); i < len(g.targets); i++ {
+		u := g.targets[i].upstream
+		if u.State != route.Ready {
+			continue
+		}
+		if h := route.Hash(subject, string(u.ID)); best < 0 || h > bar {
+			best, bar = i, h
+		}
+	}
+	return best
+}
+
+// failureFloor returns the lowest failure rate of the group, which is normal for
+// the service.
+func (g *group) failureFloor() float64 {
+	floor := 1.0
+	for _, t := range g.targets {
+		floor = min(floor, t.failures)
+	}
+	return floor
+}
--- /dev/null
+++ b/dispatch/peers.go
@@ -0,0 +1,92 @@
+package dispatch
+
+import (
+	"time"
+
+	"mulberrydyke/plan"
+)
+
+// reportLife is how long a peer's report counts.
+const reportLife = 1500 * time.Millisecond
+
+// Load is what one host runs on one upstream.
+type Load struct {
+	Upstream plan.UpstreamID
+	Short    int
+	Long     int
+	Plain    int
+	// Pending counts the prompt tokens that are not read yet.
+	Pending int
+}
+
+// Rate is the arriving prompt tokens of long requests, a second, of one service.
+type Rate struct {
+	Service plan.ServiceID
+	Tokens  float64
+}
+
+// Report is what one host says of its work.
+type Report struct {
+	Loads []Load
+	Rates []Rate
+}
+
+// peerState is the newest report of one peer.
+type peerState struct {
+	report Report
+	at     time.Time
+}
+
+// Report returns what this host runs.
+func (c *Core) Report(now time.Time) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peersChanged(now)
+	var r Report
+	for id, t := range c.targets {
+		if t.own.running() == 0 {
+			continue
+		}
+		r.Loads = append(r.Loads, Load{Upstream: id, Short: t.own.short, Long: t.own.long, Plain: t.own.plain, Pending: t.own.pending})
+	}
+	for id, g := range c.services {
+		if rate := g.rate(now); rate >= 1 {
+			r.Rates = append(r.Rates, Rate{Service: id, Tokens: rate})
+		}
+	}
+	return r
+}
+
+// Heard takes up a peer's report.
+func (c *Core) Heard(now time.Time, peer plan.HostID, r Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.peers[peer] = &peerState{report: r, at: now}
+	c.peersChanged(now)
+}
+
+// peersChanged adds the peers' reports up anew. Old reports don't count.
+func (c *Core) peersChanged(now time.Time) {
+	for _, t := range c.targets {
+		t.others = work{}
+	}
+	for _, g := range c.services {
+		g.othersRate = 0
+	}
+	for id, p := range c.peers {
+		if now.Sub(p.at) > reportLife {
+			delete(c.peers, id)
+			continue
+		}
+		for _, l := range p.report.Loads {
+			if t := c.targets[l.Upstream]; t != nil {
+				t.others.add(work{short: l.Short, long: l.Long, plain: l.Plain, pending: l.Pending})
+			}
+		}
+		for _, r := range p.report.Rates {
+			if g := c.services[r.Service]; g != nil {
+				g.othersRate += r.Tokens
+			}
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/target.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"time"
+
+	"mulberrydyke/route"
+)
+
+const (
+	// shunFirst is how long an upstream is left alone after a first failure to
+	// reach it. It doubles up to shunMost.
+	shunFirst = 500 * time.Millisecond
+	shunMost  = 4 * time.Second
+	// brokenMost is the number of broken connections in a row after which an
+	// upstream is left alone.
+	brokenMost = 2
+	// failureWeight is the weight of one answer in the failure rate.
+	failureWeight = 0.08
+)
+
+// work counts what runs on one upstream.
+type work struct {
+	short, long int
+	plain       int
+	// pending counts the prompt tokens that are not read yet.
+	pending int
+}
+
+func (w *work) add(o work) {
+	w.short += o.short
+	w.long += o.long
+	w.plain += o.plain
+	w.pending += o.pending
+}
+
+// running returns the number of requests.
+func (w *work) running() int { return w.short + w.long + w.plain }
+
+// target is what is known of one upstream.
+type target struct {
+	upstream *route.Upstream
+	// own is what this host runs there, others what its peers last reported.
+	own, others work
+	// waiting holds this host's leases without a first event.
+	waiting map[*Lease]struct{}
+	// shunnedUntil is when the upstream may be tried again.
+	shunnedUntil time.Time
+	// misses counts failures to reach the upstream in a row, broken the
+	// connections that broke in a row.
+	misses, broken int
+	// failures is the share of answers that were failures, lately.
+	failures float64
+}
+
+func newTarget(u *route.Upstream) *target {
+	return &target{upstream: u, waiting: map[*Lease]struct{}{}}
+}
+
+// load returns all that is known to run on the upstream.
+func (t *target) load() work {
+	w := t.own
+	w.add(t.others)
+	return w
+}
+
+func (t *target) take(l *Lease) {
+	t.waiting[l] = struct{}{}
+	t.own.pending += l.Missing
+	t.own.count(l.Class, 1)
+}
+
+func (w *work) count(c Class, n int) {
+	switch c {
+	case Plain:
+		w.plain += n
+	case Short:
+		w.short += n
+	case Long:
+		w.long += n
+	}
+}
+
+// start notes that the upstream has read the prompt.
+func (l *Lease) start() {
+	if l.started {
+		return
+	}
+	l.started = true
+	delete(l.target.waiting, l)
+	l.target.own.pending -= l.Missing
+}
+
+func (t *target) give(now time.Time, l *Lease, r Result) {
+	l.start()
+	t.own.count(l.Class, -1)
+	switch r {
+	case Done:
+		t.misses, t.broken, t.shunnedUntil = 0, 0, time.Time{}
+		t.failures -= failureWeight * t.failures
+	case Failed, Refused:
+		t.misses, t.broken = 0, 0
+		t.failures += failureWeight * (1 - t.failures)
+	case Unreachable:
+		t.shun(now)
+	case Broken:
+		t.failures += failureWeight * (1 - t.failures)
+		t.broken++
+		if t.broken >= brokenMost {
+			t.shun(now)
+		}
+	case Abandoned:
+	}
+}
+
+// shun leaves the upstream alone for a while.
+func (t *target) shun(now time.Time) {
+	span := min(shunMost, shunFirst<<min(t.misses, 3))
+	t.misses++
+	t.shunnedUntil = now.Add(span)
+}
+
+// oldestWait returns how long the oldest of this host's requests has waited for
+// its first event.
+func (t *target) oldestWait(now time.Time) time.Duration {
+	oldest := now
+	for l := range t.waiting {
+		if l.Taken.Before(oldest) {
+			oldest = l.Taken
+		}
+	}
+	return now.Sub(oldest)
+}
--- /dev/null
+++ b/gossip/message.go
@@ -0,0 +1,76 @@
+// Package gossip is the protocol between entry hosts: datagrams that tell what
+// each host runs and which lists it has, and calls that fetch newer lists.
+package gossip
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"mulberrydyke/dispatch"
+	"mulberrydyke/plan"
+)
+
+// protocolVersion is raised with each change that older hosts can't read.
+const protocolVersion = 1
+
+const (
+	// messageMost bounds a datagram.
+	messageMost = 8 << 10
+	// peersMost bounds the peers that one message names.
+	peersMost = 12
+)
+
+// Message is what one host tells its peers.
+type Message struct {
+	Protocol int           `cbor:"1,keyasint"`
+	Host     plan.HostID   `cbor:"2,keyasint"`
+	Domain   plan.DomainID `cbor:"3,keyasint"`
+	// Incarnation is new at each start of the host's process.
+	Incarnation uint64 `cbor:"4,keyasint"`
+	// Sequence rises with each message of an incarnation.
+	Sequence uint64 `cbor:"5,keyasint"`
+	// Table and Revision are the versions of the lists that the host has.
+	Table    plan.Version `cbor:"6,keyasint"`
+	Revision uint64       `cbor:"7,keyasint"`
+	// Leaving says that the host is about to stop.
+	Leaving bool `cbor:"8,keyasint,omitempty"`
+	// Peers are addresses of hosts that were heard lately.
+	Peers  []netip.Addr    `cbor:"9,keyasint,omitempty"`
+	Report dispatch.Report `cbor:"10,keyasint"`
+}
+
+// DecodeError reports a datagram that is not a message.
+type DecodeError struct{ Reason string }
+
+func (e *DecodeError) Error() string { return "decode message: " + e.Reason }
+
+// Decode reads and checks a message. It fails with a DecodeError.
+func Decode(raw []byte) (*Message, error) {
+	var m Message
+	if err := cbor.Unmarshal(raw, &m); err != nil {
+		return nil, &DecodeError{Reason: err.Error()}
+	}
+	return &m, m.check()
+}
+
+func (m *Message) check() error {
+	switch {
+	case m.Protocol != protocolVersion:
+		return &DecodeError{Reason: fmt.Sprintf("protocol %d", m.Protocol)}
+	case m.Host == "" || m.Incarnation == 0:
+		return &DecodeError{Reason: "no sender"}
+	case len(m.Peers) > peersMost:
+		return &DecodeError{Reason: "too many peers"}
+	}
+	for _, l := range m.Report.Loads {
+		if l.Short < 0 || l.Long < 0 || l.Plain < 0 || l.Pending < 0 {
+			return &DecodeError{Reason: "negative load"}
+		}
+	}
+	return nil
+}
+
+// Encode writes a message.
+func (m *Message) Encode() ([]byte, error) { return cbor.Marshal(m) }
--- a/host/host.go
+++ b/host/host.go
@@ -24,8 +24,8 @@
 	"mulberrydyke/peer"
 	"mulberrydyke/placement"
 	"mulberrydyke/plan"
-	"mulberrydyke/platform"
 	"mulberrydyke/pool"
+	"mulberrydyke/registry"
 	"mulberrydyke/relay"
 	"mulberrydyke/runner"
 	"mulberrydyke/setting"
@@ -61,7 +61,7 @@
 	entry    *entry.Server
 	metrics  *metric.Set
 	trail    *audit.Trail
-	platform *platform.Client
+	platform *registry.Client
 
 	callers, operators *web.Server
 	peers              *peer.Server
@@ -121,7 +121,7 @@
 	set, cleanup := upstream.NewSet(h.settings.Bounds.Silence.Std())
 	h.set = set
 	h.cleanups = append(h.cleanups, cleanup)
-	client, cleanup := platform.NewClient(h.settings.Platform)
+	client, cleanup := registry.NewClient(h.settings.Platform)
 	h.platform = client
 	h.cleanups = append(h.cleanups, cleanup)
 	h.lists = newLists(h)
--- a/host/lists.go
+++ b/host/lists.go
@@ -10,7 +10,7 @@
 	"mulberrydyke/member"
 	"mulberrydyke/peer"
 	"mulberrydyke/plan"
-	"mulberrydyke/platform"
+	"mulberrydyke/registry"
 )
 
 const (
@@ -147,7 +147,7 @@
 	}
 	ctx, l.stop = context.WithCancel(ctx)
 	for _, kind := range plan.Kinds() {
-		values := make(chan platform.Value)
+		values := make(chan registry.Value)
 		l.watching.Go(func() {
 			l.host.platform.Watch(ctx, kind, values, func(err error) {
 				if ctx.Err() == nil {
@@ -159,7 +159,7 @@
 	}
 }
 
-func (l *lists) take(ctx context.Context, values <-chan platform.Value) {
+func (l *lists) take(ctx context.Context, values <-chan registry.Value) {
 	for {
 		select {
 		case v := <-values:
--- a/platform/platform.go
+++ b/registry/registry.go
@@ -1,10 +1,10 @@
-// Package platform reads the configuration service: plain reads and waiting
+// Package registry reads the configuration service: plain reads and waiting
 // watches over HTTP. It never writes.
 //
 // A value is read by GET /v1/values/NAME. The answer's X-Index header numbers
 // the value's revision. With ?index=N&wait=SPAN the service answers when the
 // revision is no longer N, or with status 304 when the span has passed.
-package platform
+package registry
 
 import (
 	"context"
--- a/platform/platform_test.go
+++ b/registry/registry_test.go
@@ -1,4 +1,4 @@
-package platform
+package registry
 
 import (
 	"context"
--- a/setting/setting.go
+++ b/setting/setting.go
@@ -104,6 +104,9 @@
 }
 
 func (e *Error) Error() string {
+	if e.File == "" {
+		return fmt.Sprintf("%s: %s", e.Field, e.Valid)
+	}
 	return fmt.Sprintf("%s:%d: %s: %s", e.File, e.Line, e.Field, e.Valid)
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -17,7 +17,7 @@
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"mulberrydyke/plan"
-	"mulberrydyke/platform"
+	"mulberrydyke/registry"
 	"mulberrydyke/web"
 )
 
@@ -131,7 +131,7 @@
 		http.Error(w, "down", http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set(platform.IndexHeader, strconv.FormatUint(value.index, 10))
+	w.Header().Set(registry.IndexHeader, strconv.FormatUint(value.index, 10))
 	if value.index == index {
 		w.WriteHeader(http.StatusNotModified)
 		return
