Keep prompts on engines that hold their parts; never end a broken stream whole

Change: reading a shared part again costs, lateness costs from 0.7 of the target, each subject has a first and a second home; a refusal aborts an answer that has begun.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -36,6 +36,41 @@
 	stallFactor = 2.0
 )
 
+// Costs of reading shared parts of a prompt that another engine holds, for each
+// token. Reading them again takes the time of everybody's requests there.
+const (
+	rereadCost = 0.06
+	// secondCost applies to the subject's second home, so that subjects that
+	// overflow do so to the same engine from all hosts.
+	secondCost = 0.045
+)
+
+// Costs of being late.
+const (
+	// lateFrom is the part of the target that the expected first event may take.
+	lateFrom = 0.7
+	// lateFactor is the cost of a millisecond beyond it.
+	lateFactor = 2.0
+)
+
+// reread returns the cost of the shared parts that an engine has to read.
+func reread(missing int, second bool, p *call.Prompt) float64 {
+	again := float64(max(0, missing-p.Own()))
+	if second {
+		return again * secondCost
+	}
+	return again * rereadCost
+}
+
+// late returns the cost of an expected first event, in milliseconds, that comes
+// after the target or shortly before it.
+func late(expected float64, target time.Duration) float64 {
+	if target <= 0 {
+		return 0
+	}
+	return lateFactor * max(0, expected-lateFrom*float64(target)/float64(time.Millisecond))
+}
+
 // missing returns how many tokens of the prompt the engine has to read. The
 // engine that is the subject's home counts as having the shared parts.
 func (c *Core) missing(now time.Time, t *target, home bool, p *call.Prompt) int {
@@ -50,7 +85,7 @@
 
 // cost returns the cost of running a request on a target, which stands at index
 // i of its group.
-func (c *Core) cost(now time.Time, g *group, t *target, i int, class Class, missing int) float64 {
+func (c *Core) cost(now time.Time, g *group, t *target, i int, class Class, missing int, second bool, q *Query) float64 {
 	load := t.load()
 	cost := failureCost * max(0, t.failures-g.failureFloor())
 	if t.upstream.Domain != c.domain {
@@ -62,7 +97,8 @@
 	} else {
 		queue := float64(load.pending) / readRate
 		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
-		cost += queue + float64(missing)/readRate + slotCost*float64(load.running())
+		expected := queue + float64(missing)/readRate + slotCost*float64(load.running())
+		cost += expected + late(expected, q.Target) + reread(missing, second, q.Prompt)
 		cost += g.overflow(load.running(), t.upstream.Slots)
 		cost += g.intrusion(i, class, load)
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -218,9 +218,9 @@
 // that failed lately.
 func (c *Core) best(now time.Time, g *group, class Class, q *Query, desperate bool) choice {
 	found := choice{cost: math.Inf(1)}
-	home := -1
-	if class == Long {
-		home = g.home(q.Prompt.Subject())
+	home, second := -1, -1
+	if class != Plain {
+		home, second = g.homes(q.Prompt.Subject(), class)
 	}
 	for i, t := range g.targets {
 		if t.upstream.State != route.Ready || avoided(q.Avoid, t.upstream.ID) {
@@ -234,7 +234,7 @@
 		if class != Plain {
 			missing = c.missing(now, t, i == home, q.Prompt)
 		}
-		cost := c.cost(now, g, t, i, class, missing)
+		cost := c.cost(now, g, t, i, class, missing, i == second, q)
 		if desperate {
 			cost += t.shunnedUntil.Sub(now).Seconds() * 1000
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -107,20 +107,31 @@
 	g.shorts = best
 }
 
-// home returns the index of the target that long prompts on a subject belong to,
-// by rendezvous hashing over the targets for them that can take work, or -1.
-func (g *group) home(subject string) int {
-	best, bar := -1, uint64(0)
-	for i := min(g.shorts, len(g.targets)); i < len(g.targets); i++ {
+// homes returns the indexes of the targets that prompts of a class on a subject
+// belong to, by rendezvous hashing over the targets for the class that can take
+// work. Each is -1 where there is none.
+func (g *group) homes(subject string, class Class) (first, second int) {
+	from, to := 0, min(g.shorts, len(g.targets))
+	if class == Long {
+		from, to = to, len(g.targets)
+	}
+	first, second = -1, -1
+	var bar, secondBar uint64
+	for i := from; i < to; i++ {
 		u := g.targets[i].upstream
 		if u.State != route.Ready {
 			continue
 		}
-		if h := route.Hash(subject, string(u.ID)); best < 0 || h > bar {
-			best, bar = i, h
+		h := route.Hash(subject, string(u.ID))
+		switch {
+		case first < 0 || h > bar:
+			second, secondBar = first, bar
+			first, bar = i, h
+		case second < 0 || h > secondBar:
+			second, secondBar = i, h
 		}
 	}
-	return best
+	return first, second
 }
 
 // failureFloor returns the lowest failure rate of the group, which is normal for
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -223,7 +223,6 @@
 // giveUp ends a request that no further upstream may serve.
 func (x *exchange) giveUp(ctx context.Context) {
 	switch {
-	case x.request.Arrived.IsZero():
 	case x.began:
 		x.abort()
 	case x.held != nil:
@@ -238,8 +237,14 @@
 }
 
 // refuse writes an answer of the product's own. Zero chooses the status for a
-// request that did not run.
+// request that did not run. An answer that has begun is broken off instead.
 func (x *exchange) refuse(status int, reason string) step {
+	if x.cause == "" {
+		x.cause = reason
+	}
+	if x.began {
+		x.abort()
+	}
 	if status == 0 {
 		status = http.StatusServiceUnavailable
 		if x.runs > 0 {
@@ -247,9 +252,6 @@
 		}
 	}
 	x.status = status
-	if x.cause == "" {
-		x.cause = reason
-	}
 	after := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		after = refusalRetry + rand.N(refusalRetry/2)
