Measure the engines' reading speed together; agree on the division by the median; price rereads higher

Change: regression over all hosts' samples of lone prompts; hosts tell each other what division they would have and take the median; intrusion costs by the number of short requests and the length; reading a shared part again costs twice as much and lateness from 0.9 of the target.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -10,8 +10,6 @@
 // The cost of an upstream is the time in milliseconds until the first event, and
 // terms in the same unit for what else speaks against it.
 const (
-	// readRate is the prompt tokens that an engine reads in a millisecond.
-	readRate = 75.0
 	// slotCost is what each running request adds to a step, over the steps
 	// until the first event.
 	slotCost = 0.5
@@ -24,9 +22,15 @@
 	// its tokens.
 	intrudeShort = 120.0
 	// intrudeLong is for a long prompt among short ones, whose tokens it holds
-	// up; intrudePerShort is for each of them.
+	// up; intrudePerShort is for each of them, for each longPrompt tokens to read.
 	intrudeLong     = 150.0
-	intrudePerShort = 8.0
+	intrudePerShort = 40.0
+	// disturbCost is for each request whose next event is expected to be late.
+	disturbCost = 30.0
+	// stepTime and stepSlotTime are an engine's time for one token of all its
+	// requests.
+	stepTime     = 4.0
+	stepSlotTime = 0.11
 	// failureCost is for an upstream that fails all requests.
 	failureCost = 1500.0
 	// stallAfter is the wait for a first event beyond which an upstream is
@@ -39,16 +43,16 @@
 // Costs of reading shared parts of a prompt that another engine holds, for each
 // token. Reading them again takes the time of everybody's requests there.
 const (
-	rereadCost = 0.06
+	rereadCost = 0.12
 	// secondCost applies to the subject's second home, so that subjects that
 	// overflow do so to the same engine from all hosts.
-	secondCost = 0.045
+	secondCost = 0.08
 )
 
 // Costs of being late.
 const (
 	// lateFrom is the part of the target that the expected first event may take.
-	lateFrom = 0.7
+	lateFrom = 0.9
 	// lateFactor is the cost of a millisecond beyond it.
 	lateFactor = 2.0
 )
@@ -95,12 +99,13 @@
 	if class == Plain {
 		cost += plainCost * float64(load.plain) / float64(max(1, t.upstream.Slots))
 	} else {
-		queue := float64(load.pending) / readRate
+		rate, delay := g.pace()
+		queue := float64(load.pending) / rate
 		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
-		expected := queue + float64(missing)/readRate + slotCost*float64(load.running())
+		expected := delay + queue + float64(missing)/rate + slotCost*float64(load.running())
 		cost += expected + late(expected, q.Target) + reread(missing, second, q.Prompt)
 		cost += g.overflow(load.running(), t.upstream.Slots)
-		cost += g.intrusion(i, class, load)
+		cost += g.intrusion(i, class, load, missing)
 	}
 	if stall > 0 {
 		cost += stallFactor * float64(stall) / float64(time.Millisecond)
@@ -120,15 +125,34 @@
 	return overflowCost * float64(max(0, running-slots*9/10))
 }
 
+// disturbance returns the cost of tokens that come late to the requests that run
+// on an engine, because it has more prompt to read than fits between two of
+// their events.
+func (g *group) disturbance(load work, missing int, rate float64) float64 {
+	reading := float64(load.pending+missing) / rate
+	step := stepTime + stepSlotTime*float64(load.running())
+	cost := 0.0
+	for class, running := range map[Class]int{Short: load.short, Long: load.long} {
+		gap := float64(g.gaps[class]) / float64(time.Millisecond)
+		if gap <= 0 || running == 0 {
+			continue
+		}
+		room := max(gap*0.2, gap-step*float64(g.eventTokens))
+		over := min(1, max(0, reading-0.6*room)/room)
+		cost += disturbCost * float64(running) * over
+	}
+	return cost
+}
+
 // intrusion returns the cost of running a class on an engine that is meant for
 // the other.
-func (g *group) intrusion(i int, class Class, load work) float64 {
+func (g *group) intrusion(i int, class Class, load work, missing int) float64 {
 	shortSide := i < g.shorts
 	switch {
 	case class == Short && !shortSide:
 		return intrudeShort
 	case class == Long && shortSide:
-		return intrudeLong + intrudePerShort*float64(load.short)
+		return intrudeLong + intrudePerShort*float64(load.short)*float64(missing)/longPrompt
 	}
 	return 0
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,6 +64,8 @@
 	Avoid []plan.UpstreamID
 	// Target is the latency within which the answer is on time.
 	Target time.Duration
+	// Gap is the longest pause between two events of a stream that is on time.
+	Gap time.Duration
 }
 
 // Lease is a place on an upstream that one request holds.
@@ -79,10 +81,17 @@
 	Taken time.Time
 	// Candidates is the number of upstreams that could have been taken.
 	Candidates int
-	target     *target
-	started    bool
-	ended      bool
-	prompt     *call.Prompt
+	// Shorts is how many engines of the service were for short prompts.
+	Shorts int
+	// Pace is the measured reading speed of the service's engines, in tokens a
+	// millisecond.
+	Pace   float64
+	target *target
+	// alone says that no other prompt was to be read on the engine.
+	alone   bool
+	started bool
+	ended   bool
+	prompt  *call.Prompt
 }
 
 // NoUpstreamError says that no upstream can take a request.
@@ -186,6 +195,7 @@
 	class := ClassOf(s, q.Prompt)
 	if class != Plain {
 		g.divide(now, s.Engine)
+		g.gaps[class], g.eventTokens = q.Gap, s.Engine.EventTokens
 	}
 	best := c.best(now, g, class, &q, false)
 	if best.target == nil {
@@ -194,9 +204,11 @@
 	if best.target == nil {
 		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
 	}
+	speed, _ := g.pace()
 	l := &Lease{
 		Upstream: best.target.upstream, Class: class, Missing: best.missing, Taken: now, target: best.target,
 		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
+		Shorts: g.shorts, Pace: speed, alone: best.target.load().pending == 0,
 	}
 	best.target.take(l)
 	if class != Plain {
@@ -258,6 +270,9 @@
 func (c *Core) Started(now time.Time, l *Lease) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if g := c.services[l.Upstream.Service]; g != nil && !l.started && l.alone {
+		g.samples.measured(l.Missing, now.Sub(l.Taken))
+	}
 	l.start()
 }
 
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -18,7 +18,7 @@
 	// readShare is the part of an engine's time that long prompts should take.
 	readShare = 0.5
 	// divideGain is how much better another division must be to be taken.
-	divideGain = 0.85
+	divideGain = 0.0
 	// shortsAtFirst is the part of the engines for short prompts while no load
 	// is known.
 	shortsAtFirst = 0.4
@@ -32,6 +32,16 @@
 	// shorts is how many of the leading targets are for short prompts.
 	shorts  int
 	divided time.Time
+	// wanted is how many this host would have, othersWanted what its peers would.
+	wanted       int
+	othersWanted []int
+	// gaps holds the longest pause between two events that each class allows, as
+	// last seen.
+	gaps        [3]time.Duration
+	eventTokens int
+	// samples are this host's measurements of the engines' speed, othersSamples
+	// those of its peers.
+	samples, othersSamples Samples
 	// longRate is this host's arriving prompt tokens of long requests a second,
 	// as of rateAt; othersRate is the same of its peers.
 	longRate, othersRate float64
@@ -68,11 +78,26 @@
 	return g.longRate * math.Exp(-now.Sub(g.rateAt).Seconds()/rateSpan.Seconds())
 }
 
-// divide decides anew how many engines are for short prompts, so that neither
-// side is the more loaded.
+// divide decides anew how many engines are for short prompts. All hosts should
+// divide alike, since a subject's home depends on it: so each host tells the
+// others what it would do, and the median is done.
 func (g *group) divide(now time.Time, e *route.Engine) {
-	n := 0
-	shorts := 0
+	if now.Sub(g.divided) < divideEvery && g.shorts > 0 {
+		return
+	}
+	g.divided = now
+	n, shorts := g.usable(now)
+	if n < 2 {
+		g.shorts = max(1, g.shorts)
+		return
+	}
+	g.wanted = g.wish(now, e, n, shorts)
+	g.shorts = min(n-1, median(append(g.othersWanted, g.wanted)))
+}
+
+// usable returns the number of engines that take work, and of the short prompts
+// that run on all.
+func (g *group) usable(now time.Time) (n, shorts int) {
 	for _, t := range g.targets {
 		if t.upstream.State != route.Ready || now.Before(t.shunnedUntil) {
 			continue
@@ -81,30 +106,44 @@
 		w := t.load()
 		shorts += w.short
 	}
-	if now.Sub(g.divided) < divideEvery && g.shorts > 0 {
-		return
-	}
-	g.divided = now
-	if g.shorts == 0 {
-		g.shorts = max(1, int(shortsAtFirst*float64(n)))
-	}
-	if n < 2 {
-		return
+	return n, shorts
+}
+
+// wish returns the number of engines for short prompts at which neither side is
+// the more loaded. It stays at what is wanted now unless that gains enough.
+func (g *group) wish(now time.Time, e *route.Engine, n, shorts int) int {
+	if g.wanted == 0 {
+		g.wanted = max(1, int(shortsAtFirst*float64(n)))
 	}
 	tokens := g.rate(now) + g.othersRate
+	speed, _ := g.pace()
 	busy := func(k int) float64 {
 		short := float64(shorts) / (float64(k) * slotShare * float64(max(1, e.Slots)))
-		long := tokens / (float64(n-k) * readShare * readRate * 1000)
+		long := tokens / (float64(n-k) * readShare * speed * 1000)
 		return max(short, long)
 	}
-	best := min(max(1, g.shorts), n-1)
+	best := min(g.wanted, n-1)
 	bar := busy(best) * divideGain
 	for k := 1; k < n; k++ {
 		if b := busy(k); b < bar {
 			best, bar = k, b
 		}
 	}
-	g.shorts = best
+	return best
+}
+
+// pace returns the measured speed of the engines: tokens read in a millisecond,
+// and the delay in milliseconds that comes besides.
+func (g *group) pace() (speed, delay float64) {
+	all := g.samples
+	all.add(g.othersSamples)
+	return all.fit()
+}
+
+// median returns the lower median of a list, which it sorts.
+func median(list []int) int {
+	sort.Ints(list)
+	return list[(len(list)-1)/2]
 }
 
 // homes returns the indexes of the targets that prompts of a class on a subject
@@ -112,9 +151,7 @@
 // work. Each is -1 where there is none.
 func (g *group) homes(subject string, class Class) (first, second int) {
 	from, to := 0, min(g.shorts, len(g.targets))
-	if class == Long {
-		from, to = to, len(g.targets)
-	}
+	from, to = 0, len(g.targets)
 	first, second = -1, -1
 	var bar, secondBar uint64
 	for i := from; i < to; i++ {
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -19,10 +19,15 @@
 	Pending int
 }
 
-// Rate is the arriving prompt tokens of long requests, a second, of one service.
+// Rate is what one host says of the requests for one service.
 type Rate struct {
 	Service plan.ServiceID
-	Tokens  float64
+	// Tokens counts the arriving prompt tokens of long requests, a second.
+	Tokens float64
+	// Shorts is how many engines the host would have for short prompts.
+	Shorts int
+	// Samples are the host's measurements of the engines' speed.
+	Samples Samples
 }
 
 // Report is what one host says of its work.
@@ -50,8 +55,8 @@
 		r.Loads = append(r.Loads, Load{Upstream: id, Short: t.own.short, Long: t.own.long, Plain: t.own.plain, Pending: t.own.pending})
 	}
 	for id, g := range c.services {
-		if rate := g.rate(now); rate >= 1 {
-			r.Rates = append(r.Rates, Rate{Service: id, Tokens: rate})
+		if g.wanted > 0 {
+			r.Rates = append(r.Rates, Rate{Service: id, Tokens: g.rate(now), Shorts: g.wanted, Samples: g.samples})
 		}
 	}
 	return r
@@ -72,6 +77,8 @@
 	}
 	for _, g := range c.services {
 		g.othersRate = 0
+		g.othersWanted = g.othersWanted[:0]
+		g.othersSamples = Samples{}
 	}
 	for id, p := range c.peers {
 		if now.Sub(p.at) > reportLife {
@@ -86,6 +93,8 @@
 		for _, r := range p.report.Rates {
 			if g := c.services[r.Service]; g != nil {
 				g.othersRate += r.Tokens
+				g.othersWanted = append(g.othersWanted, r.Shorts)
+				g.othersSamples.add(r.Samples)
 			}
 		}
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -52,6 +52,9 @@
 	// status, first and cause are for the log.
 	status int
 	first  time.Duration
+	// pause is the longest time between two events, latest when the last came.
+	pause  time.Duration
+	latest time.Time
 	cause  string
 	lease  *dispatch.Lease
 }
@@ -102,7 +105,7 @@
 	if service == nil {
 		service = &route.Service{ID: x.service}
 	}
-	lease, err := s.Core.Take(s.Now(), dispatch.Query{Service: x.service, Prompt: &x.request.Prompt, Avoid: x.avoid, Target: x.route.Target}, service)
+	lease, err := s.Core.Take(s.Now(), dispatch.Query{Service: x.service, Prompt: &x.request.Prompt, Avoid: x.avoid, Target: x.route.Target, Gap: x.route.TargetGap}, service)
 	if err != nil {
 		x.cause = err.Error()
 		x.giveUp(ctx)
@@ -274,10 +277,10 @@
 	attrs := []any{
 		"id", string(x.request.ID), "route", string(x.route.Name), "account", string(x.accountID()),
 		"table", uint64(x.table.Version), "status", x.status, "sends", x.sends, "runs", x.runs,
-		"events", x.events, "first", x.first, "total", now.Sub(x.request.Arrived),
+		"events", x.events, "first", x.first, "pause", x.pause, "total", now.Sub(x.request.Arrived),
 	}
 	if l := x.lease; l != nil {
-		attrs = append(attrs, "upstream", string(l.Upstream.ID), "class", l.Class.String(), "missing", l.Missing, "cost", l.Cost, "candidates", l.Candidates)
+		attrs = append(attrs, "upstream", string(l.Upstream.ID), "class", l.Class.String(), "missing", l.Missing, "cost", l.Cost, "candidates", l.Candidates, "shorts", l.Shorts, "pace", l.Pace)
 	}
 	if x.cause != "" {
 		attrs = append(attrs, "cause", x.cause)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -63,6 +63,11 @@
 	if f, ok := x.w.(http.Flusher); ok {
 		f.Flush()
 	}
+	now := x.server.Now()
+	if x.events > 0 {
+		x.pause = max(x.pause, now.Sub(x.latest))
+	}
+	x.latest = now
 	x.events++
 	if e.hasID {
 		x.lastEvent, x.lastEventID = e.idString, e.id
