--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -17,7 +17,7 @@
 	// to the service's slots.
 	plainCost = 60.0
 	// otherDomainCost is for the longer way and the price of the bytes.
-	otherDomainCost = 4.0
+	otherDomainCost = 12.0
 	// intrudeShort is for a short prompt among long ones: long prompts hold up
 	// its tokens.
 	intrudeShort = 120.0
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -136,7 +136,7 @@
 // and the delay in milliseconds that comes besides.
 func (g *group) pace() (speed, delay float64) {
 	all := g.samples
-	all.add(g.othersSamples)
+	all.add(&g.othersSamples)
 	return all.fit()
 }
 
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -19,13 +19,14 @@
 // prompt, by the number of tokens that they had to read. The speed of reading is
 // the slope; delays that don't depend on the tokens are the intercept.
 type Samples struct {
+	_      struct{} `cbor:",toarray"`
 	Weight float64
 	// Tokens and Millis are the sums of both, TokensSquared and Product those of
 	// the tokens' square and of tokens times milliseconds.
 	Tokens, Millis, TokensSquared, Product float64
 }
 
-func (s *Samples) add(o Samples) {
+func (s *Samples) add(o *Samples) {
 	s.Weight += o.Weight
 	s.Tokens += o.Tokens
 	s.Millis += o.Millis
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -4,14 +4,22 @@
 	"time"
 
 	"mulberrydyke/plan"
+	"mulberrydyke/route"
 )
 
 // reportLife is how long a peer's report counts.
 const reportLife = 1500 * time.Millisecond
 
+// UpstreamKey stands for an upstream in reports. It is a hash of its ID.
+type UpstreamKey uint32
+
+// KeyOf returns the key of an upstream.
+func KeyOf(id plan.UpstreamID) UpstreamKey { return UpstreamKey(route.Hash(string(id))) }
+
 // Load is what one host runs on one upstream.
 type Load struct {
-	Upstream plan.UpstreamID
+	_        struct{} `cbor:",toarray"`
+	Upstream UpstreamKey
 	Short    int
 	Long     int
 	Plain    int
@@ -21,6 +29,7 @@
 
 // Rate is what one host says of the requests for one service.
 type Rate struct {
+	_       struct{} `cbor:",toarray"`
 	Service plan.ServiceID
 	// Tokens counts the arriving prompt tokens of long requests, a second.
 	Tokens float64
@@ -32,6 +41,7 @@
 
 // Report is what one host says of its work.
 type Report struct {
+	_     struct{} `cbor:",toarray"`
 	Loads []Load
 	Rates []Rate
 }
@@ -48,11 +58,11 @@
 	defer c.mu.Unlock()
 	c.peersChanged(now)
 	var r Report
-	for id, t := range c.targets {
+	for _, t := range c.targets {
 		if t.own.running() == 0 {
 			continue
 		}
-		r.Loads = append(r.Loads, Load{Upstream: id, Short: t.own.short, Long: t.own.long, Plain: t.own.plain, Pending: t.own.pending})
+		r.Loads = append(r.Loads, Load{Upstream: t.key, Short: t.own.short, Long: t.own.long, Plain: t.own.plain, Pending: t.own.pending})
 	}
 	for id, g := range c.services {
 		if g.wanted > 0 {
@@ -72,8 +82,10 @@
 
 // peersChanged adds the peers' reports up anew. Old reports don't count.
 func (c *Core) peersChanged(now time.Time) {
+	byKey := make(map[UpstreamKey]*target, len(c.targets))
 	for _, t := range c.targets {
 		t.others = work{}
+		byKey[t.key] = t
 	}
 	for _, g := range c.services {
 		g.othersRate = 0
@@ -86,7 +98,7 @@
 			continue
 		}
 		for _, l := range p.report.Loads {
-			if t := c.targets[l.Upstream]; t != nil {
+			if t := byKey[l.Upstream]; t != nil {
 				t.others.add(work{short: l.Short, long: l.Long, plain: l.Plain, pending: l.Pending})
 			}
 		}
@@ -94,7 +106,7 @@
 			if g := c.services[r.Service]; g != nil {
 				g.othersRate += r.Tokens
 				g.othersWanted = append(g.othersWanted, r.Shorts)
-				g.othersSamples.add(r.Samples)
+				g.othersSamples.add(&r.Samples)
 			}
 		}
 	}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -39,6 +39,7 @@
 // target is what is known of one upstream.
 type target struct {
 	upstream *route.Upstream
+	key      UpstreamKey
 	// own is what this host runs there, others what its peers last reported.
 	own, others work
 	// waiting holds this host's leases without a first event.
@@ -53,7 +54,7 @@
 }
 
 func newTarget(u *route.Upstream) *target {
-	return &target{upstream: u, waiting: map[*Lease]struct{}{}}
+	return &target{upstream: u, key: KeyOf(u.ID), waiting: map[*Lease]struct{}{}}
 }
 
 // load returns all that is known to run on the upstream.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -32,8 +32,8 @@
 
 const (
 	// watchWait is how long a watch of the platform may hear nothing before it
-	// is asked anew. It bounds how long a silent one is believed.
-	watchWait = time.Second
+	// is asked anew. It bounds how long one is believed whose answer was lost.
+	watchWait = 3 * time.Second
 	// memoryShare is the part of the machine's memory that the heap aims at.
 	memoryShare = 0.6
 	// headerTimeout bounds the reading of a request's head.
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -17,6 +17,8 @@
 	forgetAfter = 60 * time.Second
 	// fanout bounds the hosts that get each message.
 	fanout = 8
+	// farEvery is the messages of which a host of another domain gets one.
+	farEvery = 2
 )
 
 // member is what is known of one other host.
@@ -35,14 +37,17 @@
 // Members knows which hosts there are. It holds no clock and does no I/O.
 type Members struct {
 	self    netip.Addr
+	domain  plan.DomainID
 	members map[netip.Addr]*member
 	// turn rotates through the live hosts where there are more than fanout.
 	turn int
+	// round counts the messages.
+	round int
 }
 
 // NewMembers returns members that know only the seeds.
-func NewMembers(now time.Time, self netip.Addr, seeds []netip.AddrPort) *Members {
-	m := &Members{self: self, members: map[netip.Addr]*member{}}
+func NewMembers(now time.Time, self netip.Addr, domain plan.DomainID, seeds []netip.AddrPort) *Members {
+	m := &Members{self: self, domain: domain, members: map[netip.Addr]*member{}}
 	m.Seed(now, seeds)
 	return m
 }
@@ -83,10 +88,13 @@
 }
 
 // Targets returns the hosts that get the next message, and notes that they do.
+// Hosts of other domains get every second one, since the bytes there cost.
 func (m *Members) Targets(now time.Time) []netip.Addr {
 	var live, out []netip.Addr
+	m.round++
 	for a, x := range m.members {
 		switch {
+		case x.domain != m.domain && m.round%farEvery != 0 && now.Sub(x.heard) < liveFor:
 		case now.Sub(x.heard) < liveFor:
 			live = append(live, a)
 		case now.Sub(x.heard) > forgetAfter:
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -19,7 +19,7 @@
 	// messageMost bounds a datagram.
 	messageMost = 8 << 10
 	// peersMost bounds the peers that one message names.
-	peersMost = 12
+	peersMost = 6
 )
 
 // Message is what one host tells its peers.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "listen for datagrams of peers")
 	}
-	n := &Node{Options: o, conn: conn, members: NewMembers(o.Now(), o.IP, o.Seeds), live: 1}
+	n := &Node{Options: o, conn: conn, members: NewMembers(o.Now(), o.IP, o.Domain, o.Seeds), live: 1}
 	closePeers, err := n.listenCalls()
 	if err != nil {
 		_ = conn.Close()
