Order letters before drafts among requests of equal accounts

Trace: accounts carry a priority, so letters and drafts of one account had the same urgency, and an engine out of memory preempts the newest of the least urgent. Change: the urgency is the account's priority first, the route's inside it. The log line of a request names its urgency now.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -157,11 +157,22 @@
 	return 0
 }
 
-// Urgency returns the rank that an engine is given for a request: the account's
-// priority where it has one, else the route's.
+// Ranks that an engine's scale of ten can tell apart.
+const (
+	ranksMost = 3
+	rankLast  = 9
+)
+
+// Urgency returns the rank that an engine is given for a request, from 0, the
+// most urgent, to 9. The account's priority decides, or the route's where the
+// account has none; the route's priority orders requests of equal accounts.
 func Urgency(r *route.Route, a *route.Account) int {
+	first := r.Priority
 	if a != nil && a.HasPriority {
-		return a.Priority
+		first = a.Priority
+	}
+	if first >= ranksMost {
+		return rankLast
 	}
-	return r.Priority
+	return max(0, first)*ranksMost + min(max(0, r.Priority), ranksMost-1)
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -280,7 +280,7 @@
 		"events", x.events, "first", x.first, "pause", x.pause, "total", now.Sub(x.request.Arrived),
 	}
 	if l := x.lease; l != nil {
-		attrs = append(attrs, "upstream", string(l.Upstream.ID), "class", l.Class.String(), "missing", l.Missing, "cost", l.Cost, "candidates", l.Candidates, "shorts", l.Shorts, "pace", l.Pace)
+		attrs = append(attrs, "upstream", string(l.Upstream.ID), "class", l.Class.String(), "urgency", x.urgency(l.Class), "missing", l.Missing, "cost", l.Cost, "candidates", l.Candidates, "shorts", l.Shorts, "pace", l.Pace)
 	}
 	if x.cause != "" {
 		attrs = append(attrs, "cause", x.cause)
