Suspect domains whose hosts fall silent; give up dials and silent connections sooner

Change: an upstream of a domain of which no host has been heard for 700 ms costs 300 ms; dials end after 250 ms, unacknowledged bytes after 800 ms.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -18,6 +18,9 @@
 	plainCost = 60.0
 	// otherDomainCost is for the longer way and the price of the bytes.
 	otherDomainCost = 12.0
+	// silentDomainCost is for an upstream of a domain whose hosts are not heard:
+	// the domain may be cut off, or just its hosts may be gone.
+	silentDomainCost = 300.0
 	// intrudeShort is for a short prompt among long ones: long prompts hold up
 	// its tokens.
 	intrudeShort = 120.0
@@ -94,6 +97,9 @@
 	cost := failureCost * max(0, t.failures-g.failureFloor())
 	if t.upstream.Domain != c.domain {
 		cost += otherDomainCost
+		if c.silent(now, t.upstream.Domain) {
+			cost += silentDomainCost
+		}
 	}
 	stall := t.oldestWait(now) - stallAfter
 	if class == Plain {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -137,7 +137,9 @@
 	// services groups the targets; each group is sorted by spread.
 	services map[plan.ServiceID]*group
 	peers    map[plan.HostID]*peerState
-	cache    *prefixes
+	// heard holds when a host of each domain was last heard.
+	heard map[plan.DomainID]time.Time
+	cache *prefixes
 }
 
 // NewCore returns a Core for a host in a failure domain. CacheLife is how long a
@@ -148,6 +150,7 @@
 		targets:  map[plan.UpstreamID]*target{},
 		services: map[plan.ServiceID]*group{},
 		peers:    map[plan.HostID]*peerState{},
+		heard:    map[plan.DomainID]time.Time{},
 		cache:    newPrefixes(cacheLife),
 	}
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -72,10 +72,21 @@
 	return r
 }
 
-// Heard takes up a peer's report.
-func (c *Core) Heard(now time.Time, peer plan.HostID, r Report) {
+// silentAfter is how long no host of another domain is heard before the domain
+// counts as cut off. It is longer than one message's pause and a lost message.
+const silentAfter = 700 * time.Millisecond
+
+// silent says whether a domain's hosts were heard once and are not any more.
+func (c *Core) silent(now time.Time, d plan.DomainID) bool {
+	at, known := c.heard[d]
+	return known && now.Sub(at) > silentAfter
+}
+
+// Heard takes up the report of a peer in a domain.
+func (c *Core) Heard(now time.Time, peer plan.HostID, d plan.DomainID, r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.heard[d] = now
 	c.peers[peer] = &peerState{report: r, at: now}
 	c.peersChanged(now)
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -127,7 +127,7 @@
 	fresh := n.members.Heard(now, from, msg)
 	n.mu.Unlock()
 	if fresh {
-		n.Core.Heard(now, msg.Host, msg.Report)
+		n.Core.Heard(now, msg.Host, msg.Domain, msg.Report)
 	}
 }
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -15,9 +15,9 @@
 
 const (
 	// DialTimeout bounds a new connection.
-	DialTimeout = 400 * time.Millisecond
+	DialTimeout = 250 * time.Millisecond
 	// ackTimeout is how long sent bytes may go without acknowledgement.
-	ackTimeout = 1500 * time.Millisecond
+	ackTimeout = 800 * time.Millisecond
 	// probeIdle and probeInterval set keep-alive probes, which find a connection
 	// that has gone silent while it waits.
 	probeIdle     = 2 * time.Second
