Divide only the engines that can be reached, and keep the division over changes of the list

Change: engines of silent domains and those that could not be reached twice take no part in the division; what was measured is inherited.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -90,9 +90,8 @@
 	return c.cache.missing(now, t.upstream.ID, p)
 }
 
-// cost returns the cost of running a request on a target, which stands at index
-// i of its group.
-func (c *Core) cost(now time.Time, g *group, t *target, i int, class Class, missing int, second bool, q *Query) float64 {
+// cost returns the cost of running a request on a target of a group.
+func (c *Core) cost(now time.Time, g *group, t *target, class Class, missing int, second bool, q *Query) float64 {
 	load := t.load()
 	cost := failureCost * max(0, t.failures-g.failureFloor())
 	if t.upstream.Domain != c.domain {
@@ -111,7 +110,7 @@
 		expected := delay + queue + float64(missing)/rate + slotCost*float64(load.running())
 		cost += expected + late(expected, q.Target) + reread(missing, second, q.Prompt)
 		cost += g.overflow(load.running(), t.upstream.Slots)
-		cost += g.intrusion(i, class, load, missing)
+		cost += intrusion(t, class, load, missing)
 	}
 	if stall > 0 {
 		cost += stallFactor * float64(stall) / float64(time.Millisecond)
@@ -152,12 +151,11 @@
 
 // intrusion returns the cost of running a class on an engine that is meant for
 // the other.
-func (g *group) intrusion(i int, class Class, load work, missing int) float64 {
-	shortSide := i < g.shorts
+func intrusion(t *target, class Class, load work, missing int) float64 {
 	switch {
-	case class == Short && !shortSide:
+	case class == Short && t.forLong:
 		return intrudeShort
-	case class == Long && shortSide:
+	case class == Long && !t.forLong:
 		return intrudeLong + intrudePerShort*float64(load.short)*float64(missing)/longPrompt
 	}
 	return 0
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -165,7 +165,8 @@
 			delete(c.targets, id)
 		}
 	}
-	c.services = map[plan.ServiceID]*group{}
+	before := c.services
+	c.services = make(map[plan.ServiceID]*group, len(before))
 	for id, u := range v.ByID {
 		t := c.targets[id]
 		if t == nil || t.upstream.Address != u.Address || !t.upstream.Born.Equal(u.Born) {
@@ -180,7 +181,10 @@
 		}
 		g.targets = append(g.targets, t)
 	}
-	for _, g := range c.services {
+	for id, g := range c.services {
+		if old := before[id]; old != nil {
+			g.inherit(old)
+		}
 		g.spread()
 	}
 	c.peersChanged(now)
@@ -197,7 +201,7 @@
 	}
 	class := ClassOf(s, q.Prompt)
 	if class != Plain {
-		g.divide(now, s.Engine)
+		c.divide(now, g, s.Engine)
 		g.gaps[class], g.eventTokens = q.Gap, s.Engine.EventTokens
 	}
 	best := c.best(now, g, class, &q, false)
@@ -249,7 +253,7 @@
 		if class != Plain {
 			missing = c.missing(now, t, i == home, q.Prompt)
 		}
-		cost := c.cost(now, g, t, i, class, missing, i == second, q)
+		cost := c.cost(now, g, t, class, missing, i == second, q)
 		if desperate {
 			cost += t.shunnedUntil.Sub(now).Seconds() * 1000
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -29,7 +29,7 @@
 	// targets are sorted so that every leading part is spread over the failure
 	// domains. All hosts sort alike.
 	targets []*target
-	// shorts is how many of the leading targets are for short prompts.
+	// shorts is how many of the usable targets are for short prompts.
 	shorts  int
 	divided time.Time
 	// wanted is how many this host would have, othersWanted what its peers would.
@@ -48,6 +48,13 @@
 	rateAt               time.Time
 }
 
+// inherit keeps what was measured before the list of upstreams changed. The
+// division is made anew.
+func (g *group) inherit(old *group) {
+	g.wanted, g.gaps, g.eventTokens = old.wanted, old.gaps, old.eventTokens
+	g.samples, g.longRate, g.rateAt = old.samples, old.longRate, old.rateAt
+}
+
 // spread sorts the targets: the first of each domain, the second of each domain,
 // and so on.
 func (g *group) spread() {
@@ -78,35 +85,50 @@
 	return g.longRate * math.Exp(-now.Sub(g.rateAt).Seconds()/rateSpan.Seconds())
 }
 
-// divide decides anew how many engines are for short prompts. All hosts should
-// divide alike, since a subject's home depends on it: so each host tells the
-// others what it would do, and the median is done.
-func (g *group) divide(now time.Time, e *route.Engine) {
+// divide decides anew how many engines are for short prompts, and which. All
+// hosts should divide alike, since a subject's home depends on it: so each host
+// tells the others what it would do, and the median is done.
+func (c *Core) divide(now time.Time, g *group, e *route.Engine) {
 	if now.Sub(g.divided) < divideEvery && g.shorts > 0 {
 		return
 	}
 	g.divided = now
-	n, shorts := g.usable(now)
+	n, shorts := 0, 0
+	for _, t := range g.targets {
+		t.usable = c.usable(now, t)
+		if t.usable {
+			n++
+			shorts += t.load().short
+		}
+	}
 	if n < 2 {
 		g.shorts = max(1, g.shorts)
-		return
+	} else {
+		g.wanted = g.wish(now, e, n, shorts)
+		g.shorts = min(n-1, median(append(g.othersWanted, g.wanted)))
 	}
-	g.wanted = g.wish(now, e, n, shorts)
-	g.shorts = min(n-1, median(append(g.othersWanted, g.wanted)))
+	g.assign()
 }
 
-// usable returns the number of engines that take work, and of the short prompts
-// that run on all.
-func (g *group) usable(now time.Time) (n, shorts int) {
+// usable says whether an engine takes part in the division: it takes work, was
+// reached lately, and its domain is heard.
+func (c *Core) usable(now time.Time, t *target) bool {
+	if t.upstream.State != route.Ready || (t.misses >= missesMost && now.Before(t.shunnedUntil)) {
+		return false
+	}
+	return t.upstream.Domain == c.domain || !c.silent(now, t.upstream.Domain)
+}
+
+// assign gives the first engines to short prompts. Those that can't be used now
+// are on neither side; they count as being for short prompts.
+func (g *group) assign() {
+	left := g.shorts
 	for _, t := range g.targets {
-		if t.upstream.State != route.Ready || now.Before(t.shunnedUntil) {
-			continue
+		t.forLong = t.usable && left <= 0
+		if t.usable {
+			left--
 		}
-		n++
-		w := t.load()
-		shorts += w.short
 	}
-	return n, shorts
 }
 
 // wish returns the number of engines for short prompts at which neither side is
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -14,6 +14,9 @@
 	// brokenMost is the number of broken connections in a row after which an
 	// upstream is left alone.
 	brokenMost = 2
+	// missesMost is the number of failures to reach an upstream in a row after
+	// which it takes no part in the division of engines.
+	missesMost = 2
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.08
 )
@@ -40,6 +43,8 @@
 type target struct {
 	upstream *route.Upstream
 	key      UpstreamKey
+	// usable and forLong are the target's part in the division of the group.
+	usable, forLong bool
 	// own is what this host runs there, others what its peers last reported.
 	own, others work
 	// waiting holds this host's leases without a first event.
