Share the retry budget by the hosts that are known; take an upstream out after 421

Change: the budget is shared by the hosts known through gossip, at least 64 in the first 3 s of a process; an upstream whose address belongs to another one is not used until the platform lists something new of it.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -114,6 +114,8 @@
 	Failed
 	// Refused means that the upstream did not run the request.
 	Refused
+	// Misdirected means that another upstream has the address.
+	Misdirected
 	// Unreachable means that no connection could be opened.
 	Unreachable
 	// Broken means that the connection broke while the request was under way.
@@ -124,7 +126,7 @@
 
 // String returns the result's name in logs.
 func (r Result) String() string {
-	return [...]string{"done", "failed", "refused", "unreachable", "broken", "abandoned"}[r]
+	return [...]string{"done", "failed", "refused", "misdirected", "unreachable", "broken", "abandoned"}[r]
 }
 
 // Core is the state that decisions are made from. It is safe for concurrent use.
@@ -173,6 +175,9 @@
 			t = newTarget(u)
 			c.targets[id] = t
 		}
+		if t.upstream.Revision != u.Revision {
+			t.misdirected = false
+		}
 		t.upstream = u
 		g := c.services[u.Service]
 		if g == nil {
@@ -242,7 +247,7 @@
 		home, second = g.homes(q.Prompt.Subject(), class)
 	}
 	for i, t := range g.targets {
-		if t.upstream.State != route.Ready || avoided(q.Avoid, t.upstream.ID) {
+		if t.upstream.State != route.Ready || t.misdirected || avoided(q.Avoid, t.upstream.ID) {
 			continue
 		}
 		if !desperate && now.Before(t.shunnedUntil) {
@@ -292,7 +297,7 @@
 	}
 	l.ended = true
 	l.target.give(now, l, r)
-	if r == Refused || r == Unreachable {
+	if r == Refused || r == Misdirected || r == Unreachable {
 		c.cache.forget(l.Upstream.ID, l.prompt)
 	}
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -113,7 +113,7 @@
 // usable says whether an engine takes part in the division: it takes work, was
 // reached lately, and its domain is heard.
 func (c *Core) usable(now time.Time, t *target) bool {
-	if t.upstream.State != route.Ready || (t.misses >= missesMost && now.Before(t.shunnedUntil)) {
+	if t.upstream.State != route.Ready || t.misdirected || (t.misses >= missesMost && now.Before(t.shunnedUntil)) {
 		return false
 	}
 	return t.upstream.Domain == c.domain || !c.silent(now, t.upstream.Domain)
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -49,6 +49,9 @@
 	own, others work
 	// waiting holds this host's leases without a first event.
 	waiting map[*Lease]struct{}
+	// misdirected says that another upstream has the address. It holds until the
+	// platform lists something new of the upstream.
+	misdirected bool
 	// shunnedUntil is when the upstream may be tried again.
 	shunnedUntil time.Time
 	// misses counts failures to reach the upstream in a row, broken the
@@ -106,6 +109,8 @@
 	case Failed, Refused:
 		t.misses, t.broken = 0, 0
 		t.failures += failureWeight * (1 - t.failures)
+	case Misdirected:
+		t.misdirected = true
 	case Unreachable:
 		t.shun(now)
 	case Broken:
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -65,6 +65,7 @@
 	table     atomic.Pointer[route.Table]
 	upstreams atomic.Pointer[route.Upstreams]
 	leaving   atomic.Bool
+	began     time.Time
 	callers   *http.Server
 	cancel    context.CancelFunc
 	duties    sync.WaitGroup
@@ -77,7 +78,7 @@
 	runtime.GOMAXPROCS(s.Cores)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	ctx, cancel := context.WithCancel(context.Background())
-	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet()}
+	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet(), began: time.Now()}
 	h.upstreams.Store(&route.Upstreams{})
 	if err := h.build(ctx); err != nil {
 		h.close()
@@ -92,7 +93,7 @@
 	links, cleanup := gateway.NewLinks()
 	h.links = links
 	h.cleanups = append(h.cleanups, cleanup)
-	h.budget = gateway.NewBudget(s.Bounds, s.Domains)
+	h.budget = gateway.NewBudget(s.Bounds, h.sharers)
 	h.gateway = gateway.NewServer(gateway.Options{
 		Dialect: platform.Dialect{}, Core: h.core, Links: links, Budget: h.budget, Table: h.table.Load, Current: h.current,
 		Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
@@ -123,6 +124,21 @@
 	return nil
 }
 
+// settleTime is how long a host learns of the others before it counts on knowing
+// them all.
+const settleTime = 3 * time.Second
+
+// sharersFirst is the number of hosts that are assumed until then.
+const sharersFirst = 64
+
+// sharers returns how many hosts share what all may repeat together.
+func (h *Host) sharers() int {
+	if time.Since(h.began) < settleTime {
+		return max(sharersFirst, h.node.Known())
+	}
+	return h.node.Known()
+}
+
 // start runs a duty until the host stops.
 func (h *Host) start(duty func()) { h.duties.Go(duty) }
 
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -22,8 +22,8 @@
 type Budget struct {
 	mu     sync.Mutex
 	bounds setting.EdgeBounds
-	// hosts is how many hosts share the extra repeats.
-	hosts    int
+	// hosts returns how many hosts share the extra repeats.
+	hosts    func() int
 	services map[plan.ServiceID]*window
 }
 
@@ -34,15 +34,8 @@
 }
 
 // NewBudget returns a budget that a number of hosts share.
-func NewBudget(bounds setting.EdgeBounds, hosts int) *Budget {
-	return &Budget{bounds: bounds, hosts: max(1, hosts), services: map[plan.ServiceID]*window{}}
-}
-
-// SetHosts says how many hosts share the extra repeats.
-func (b *Budget) SetHosts(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.hosts = max(1, n)
+func NewBudget(bounds setting.EdgeBounds, hosts func() int) *Budget {
+	return &Budget{bounds: bounds, hosts: hosts, services: map[plan.ServiceID]*window{}}
 }
 
 // Fresh counts a request that is sent for the first time.
@@ -63,7 +56,7 @@
 		fresh += w.fresh[i]
 		repeats += w.repeats[i]
 	}
-	allowed := budgetShare * (b.bounds.RetryRatio*float64(fresh) + b.bounds.RetryExtra/float64(b.hosts))
+	allowed := budgetShare * (b.bounds.RetryRatio*float64(fresh) + b.bounds.RetryExtra/float64(max(1, b.hosts())))
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -177,7 +177,11 @@
 	reply := sent.Reply
 	if reply.NotRun {
 		x.drain(sent, lease)
-		x.end(ctx, lease, dispatch.Refused, nil)
+		result := dispatch.Refused
+		if reply.Misdirected {
+			result = dispatch.Misdirected
+		}
+		x.end(ctx, lease, result, &statusError{status: reply.Status})
 		return again
 	}
 	x.runs++
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -129,6 +129,10 @@
 	return n
 }
 
+// Known returns the number of hosts that are there or were lately, this one
+// included.
+func (m *Members) Known() int { return len(m.members) + 1 }
+
 // Sample returns some hosts that are there, for a message.
 func (m *Members) Sample(now time.Time) []netip.Addr {
 	var out []netip.Addr
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -104,6 +104,14 @@
 	return n.members.Live(n.Now())
 }
 
+// Known returns the number of hosts that are there or were lately, this one
+// included.
+func (n *Node) Known() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.Known()
+}
+
 // Receive reads messages until the socket is closed.
 func (n *Node) Receive() {
 	buffer := make([]byte, messageMost)
