Give short prompts the engines that they need

Cause: the division at 0.4 of the engines can't follow the load; the trials by balance of both sides moved too often. Change: short prompts get engines for 0.6 of the slots that they take, more at once and fewer only well below.

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -15,10 +15,12 @@
 	rateSpan = 2 * time.Second
 	// slotShare is the part of an engine's slots that short prompts should take.
 	slotShare = 0.6
-	// readShare is the part of an engine's time that long prompts should take.
-	readShare = 0.5
-	// divideGain is how much better another division must be to be taken.
-	divideGain = 0.0
+	// shortsLeast and shortsMost bound the part of the engines for short prompts.
+	shortsLeast = 0.2
+	shortsMost  = 0.7
+	// shrinkRoom is the part of the engines for short prompts that may stand idle
+	// before there are fewer.
+	shrinkRoom = 0.2
 	// shortsAtFirst is the part of the engines for short prompts while no load
 	// is known.
 	shortsAtFirst = 0.4
@@ -104,7 +106,7 @@
 	if n < 2 {
 		g.shorts = max(1, g.shorts)
 	} else {
-		g.wanted = g.wish(now, e, n, shorts)
+		g.wanted = g.wish(e, n, shorts)
 		g.shorts = min(n-1, median(append(g.othersWanted, g.wanted)))
 	}
 	g.assign()
@@ -131,27 +133,21 @@
 	}
 }
 
-// wish returns the number of engines for short prompts at which neither side is
-// the more loaded. It stays at what is wanted now unless that gains enough.
-func (g *group) wish(now time.Time, e *route.Engine, n, shorts int) int {
+// wish returns the number of engines that the short prompts need, which go first:
+// they are the more urgent ones and the smaller part of the work. It grows as
+// soon as they need more, and shrinks only well below, since a change moves the
+// homes of subjects.
+func (g *group) wish(e *route.Engine, n, shorts int) int {
 	if g.wanted == 0 {
 		g.wanted = max(1, int(shortsAtFirst*float64(n)))
 	}
-	tokens := g.rate(now) + g.othersRate
-	speed, _ := g.pace()
-	busy := func(k int) float64 {
-		short := float64(shorts) / (float64(k) * slotShare * float64(max(1, e.Slots)))
-		long := tokens / (float64(n-k) * readShare * speed * 1000)
-		return max(short, long)
+	need := float64(shorts) / (slotShare * float64(max(1, e.Slots)))
+	least, most := max(1, int(shortsLeast*float64(n))), max(1, int(shortsMost*float64(n)))
+	want := g.wanted
+	if need > float64(want) || need < float64(want)*(1-shrinkRoom)-1 {
+		want = int(math.Ceil(need))
 	}
-	best := min(g.wanted, n-1)
-	bar := busy(best) * divideGain
-	for k := 1; k < n; k++ {
-		if b := busy(k); b < bar {
-			best, bar = k, b
-		}
-	}
-	return best
+	return min(most, max(least, want))
 }
 
 // pace returns the measured speed of the engines: tokens read in a millisecond,
