Exchange sums between domains, read the platform twice a domain, and place by rates of arrival

Change: hosts of one domain tell each other what they run; the first two by name exchange sums with other domains and read the platform, the others fetch what is new from them; the division is the median of the domains' wishes; the wait that others cause is that of a queue with their rate of arrival; a subject has three homes and strays cost 1 s.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -28,12 +28,6 @@
 	// up; intrudePerShort is for each of them, for each longPrompt tokens to read.
 	intrudeLong     = 150.0
 	intrudePerShort = 40.0
-	// disturbCost is for each request whose next event is expected to be late.
-	disturbCost = 30.0
-	// stepTime and stepSlotTime are an engine's time for one token of all its
-	// requests.
-	stepTime     = 4.0
-	stepSlotTime = 0.11
 	// failureCost is for an upstream that fails all requests.
 	failureCost = 1500.0
 	// stallAfter is the wait for a first event beyond which an upstream is
@@ -52,6 +46,10 @@
 	secondCost = 0.08
 )
 
+// strayCost is for an engine that is no home of the subject: under overload,
+// reading parts again everywhere makes all late.
+const strayCost = 1000.0
+
 // Costs of being late.
 const (
 	// lateFrom is the part of the target that the expected first event may take.
@@ -61,9 +59,9 @@
 )
 
 // reread returns the cost of the shared parts that an engine has to read.
-func reread(missing int, second bool, p *call.Prompt) float64 {
+func reread(missing, rank int, p *call.Prompt) float64 {
 	again := float64(max(0, missing-p.Own()))
-	if second {
+	if rank == 1 {
 		return again * secondCost
 	}
 	return again * rereadCost
@@ -80,18 +78,18 @@
 
 // missing returns how many tokens of the prompt the engine has to read. The
 // engine that is the subject's home counts as having the shared parts.
-func (c *Core) missing(now time.Time, t *target, home bool, p *call.Prompt) int {
+func (c *Core) missing(now time.Time, t *target, rank int, p *call.Prompt) int {
 	if len(p.Parts) < 2 {
 		return p.Tokens
 	}
-	if home {
+	if rank == 0 {
 		return p.Own()
 	}
 	return c.cache.missing(now, t.upstream.ID, p)
 }
 
 // cost returns the cost of running a request on a target of a group.
-func (c *Core) cost(now time.Time, g *group, t *target, class Class, missing int, second bool, q *Query) float64 {
+func (c *Core) cost(now time.Time, g *group, t *target, class Class, missing, rank int, q *Query) float64 {
 	load := t.load()
 	cost := failureCost * max(0, t.failures-g.failureFloor())
 	if t.upstream.Domain != c.domain {
@@ -105,10 +103,13 @@
 		cost += plainCost * float64(load.plain) / float64(max(1, t.upstream.Slots))
 	} else {
 		rate, delay := g.pace()
-		queue := float64(load.pending) / rate
+		queue := t.queue(rate)
 		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
 		expected := delay + queue + float64(missing)/rate + slotCost*float64(load.running())
-		cost += expected + late(expected, q.Target) + reread(missing, second, q.Prompt)
+		cost += expected + late(expected, q.Target) + reread(missing, rank, q.Prompt)
+		if class == Long && rank < 0 {
+			cost += strayCost
+		}
 		cost += g.overflow(load.running(), t.upstream.Slots)
 		cost += intrusion(t, class, load, missing)
 	}
@@ -118,6 +119,23 @@
 	return cost
 }
 
+// Costs of prompts that other hosts have sent. Their numbers are some hundred
+// milliseconds old, longer than a prompt takes to be read, so the expected wait
+// is that of a queue with their rate of arrival.
+const (
+	// meanRead is the time to read a prompt, its spread included.
+	meanRead = 60.0
+	// usedMost bounds the part of an engine's time that counts as used.
+	usedMost = 0.95
+)
+
+// queue returns the expected time in milliseconds until an engine has read the
+// prompts that it has, at a speed in tokens a millisecond.
+func (t *target) queue(speed float64) float64 {
+	others := min(usedMost, (t.near.arriving+t.far.arriving)/(speed*1000))
+	return float64(t.own.pending)/speed + meanRead*others/(1-others)
+}
+
 // overflowCost is for each request beyond the slots: it waits for a whole other
 // request to end.
 const overflowCost = 40.0
@@ -130,25 +148,6 @@
 	return overflowCost * float64(max(0, running-slots*9/10))
 }
 
-// disturbance returns the cost of tokens that come late to the requests that run
-// on an engine, because it has more prompt to read than fits between two of
-// their events.
-func (g *group) disturbance(load work, missing int, rate float64) float64 {
-	reading := float64(load.pending+missing) / rate
-	step := stepTime + stepSlotTime*float64(load.running())
-	cost := 0.0
-	for class, running := range map[Class]int{Short: load.short, Long: load.long} {
-		gap := float64(g.gaps[class]) / float64(time.Millisecond)
-		if gap <= 0 || running == 0 {
-			continue
-		}
-		room := max(gap*0.2, gap-step*float64(g.eventTokens))
-		over := min(1, max(0, reading-0.6*room)/room)
-		cost += disturbCost * float64(running) * over
-	}
-	return cost
-}
-
 // intrusion returns the cost of running a class on an engine that is meant for
 // the other.
 func intrusion(t *target, class Class, load work, missing int) float64 {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,6 +7,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,8 +65,11 @@
 	Avoid []plan.UpstreamID
 	// Target is the latency within which the answer is on time.
 	Target time.Duration
-	// Gap is the longest pause between two events of a stream that is on time.
-	Gap time.Duration
+	// Urgency is the request's rank at an engine.
+	Urgency int
+	// Draw is a random number from 0 up to 1, which spreads the returns of
+	// refused callers.
+	Draw float64
 }
 
 // Lease is a place on an upstream that one request holds.
@@ -103,6 +107,20 @@
 
 func (e *NoUpstreamError) Error() string { return "no upstream for service " + string(e.Service) }
 
+// OverloadError says that a request is refused because it would be late on every
+// engine that should take it, and would make others late.
+type OverloadError struct {
+	Upstream plan.UpstreamID
+	// Wait is the expected time until the engine has read the prompts before it.
+	Wait time.Duration
+	// RetryAfter is when the caller may come back.
+	RetryAfter time.Duration
+}
+
+func (e *OverloadError) Error() string {
+	return "engine " + string(e.Upstream) + " has prompts to read for " + e.Wait.String()
+}
+
 // Result is how a lease ended.
 type Result int
 
@@ -139,9 +157,9 @@
 	// services groups the targets; each group is sorted by spread.
 	services map[plan.ServiceID]*group
 	peers    map[plan.HostID]*peerState
-	// heard holds when a host of each domain was last heard.
-	heard map[plan.DomainID]time.Time
-	cache *prefixes
+	// domains holds what the other domains last said.
+	domains map[plan.DomainID]*DomainState
+	cache   *prefixes
 }
 
 // NewCore returns a Core for a host in a failure domain. CacheLife is how long a
@@ -152,7 +170,7 @@
 		targets:  map[plan.UpstreamID]*target{},
 		services: map[plan.ServiceID]*group{},
 		peers:    map[plan.HostID]*peerState{},
-		heard:    map[plan.DomainID]time.Time{},
+		domains:  map[plan.DomainID]*DomainState{},
 		cache:    newPrefixes(cacheLife),
 	}
 }
@@ -192,7 +210,7 @@
 		}
 		g.spread()
 	}
-	c.peersChanged(now)
+	c.sumUp(now)
 }
 
 // Take chooses an upstream and takes a place on it. It fails with a
@@ -207,7 +225,6 @@
 	class := ClassOf(s, q.Prompt)
 	if class != Plain {
 		c.divide(now, g, s.Engine)
-		g.gaps[class], g.eventTokens = q.Gap, s.Engine.EventTokens
 	}
 	best := c.best(now, g, class, &q, false)
 	if best.target == nil {
@@ -217,6 +234,11 @@
 		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
 	}
 	speed, _ := g.pace()
+	if class == Long {
+		if err := admit(g, best.target, &q); err != nil {
+			return nil, err
+		}
+	}
 	l := &Lease{
 		Upstream: best.target.upstream, Class: class, Missing: best.missing, Taken: now, target: best.target,
 		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
@@ -225,7 +247,6 @@
 	best.target.take(l)
 	if class != Plain {
 		c.cache.sent(now, best.target.upstream.ID, q.Prompt)
-		g.arrived(now, class, best.missing)
 	}
 	return l, nil
 }
@@ -242,9 +263,9 @@
 // that failed lately.
 func (c *Core) best(now time.Time, g *group, class Class, q *Query, desperate bool) choice {
 	found := choice{cost: math.Inf(1)}
-	home, second := -1, -1
+	var homes []int
 	if class != Plain {
-		home, second = g.homes(q.Prompt.Subject(), class)
+		homes = g.homes(q.Prompt.Subject(), class)
 	}
 	for i, t := range g.targets {
 		if t.upstream.State != route.Ready || t.misdirected || avoided(q.Avoid, t.upstream.ID) {
@@ -254,11 +275,11 @@
 			continue
 		}
 		found.candidates++
-		missing := 0
+		missing, rank := 0, slices.Index(homes, i)
 		if class != Plain {
-			missing = c.missing(now, t, i == home, q.Prompt)
+			missing = c.missing(now, t, rank, q.Prompt)
 		}
-		cost := c.cost(now, g, t, class, missing, i == second, q)
+		cost := c.cost(now, g, t, class, missing, rank, q)
 		if desperate {
 			cost += t.shunnedUntil.Sub(now).Seconds() * 1000
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -5,22 +5,21 @@
 	"sort"
 	"time"
 
+	"mulberrydyke/plan"
 	"mulberrydyke/route"
 )
 
 const (
 	// divideEvery is how often the engines are divided anew.
 	divideEvery = 500 * time.Millisecond
-	// rateSpan is the time over which arriving prompt tokens are averaged.
-	rateSpan = 2 * time.Second
 	// slotShare is the part of an engine's slots that short prompts should take.
-	slotShare = 0.6
+	slotShare = 0.85
 	// shortsLeast and shortsMost bound the part of the engines for short prompts.
 	shortsLeast = 0.2
 	shortsMost  = 0.7
 	// shrinkRoom is the part of the engines for short prompts that may stand idle
 	// before there are fewer.
-	shrinkRoom = 0.2
+	shrinkRoom = 0.35
 	// shortsAtFirst is the part of the engines for short prompts while no load
 	// is known.
 	shortsAtFirst = 0.4
@@ -34,27 +33,54 @@
 	// shorts is how many of the usable targets are for short prompts.
 	shorts  int
 	divided time.Time
-	// wanted is how many this host would have, othersWanted what its peers would.
-	wanted       int
-	othersWanted []int
-	// gaps holds the longest pause between two events that each class allows, as
-	// last seen.
-	gaps        [3]time.Duration
-	eventTokens int
-	// samples are this host's measurements of the engines' speed, othersSamples
-	// those of its peers.
-	samples, othersSamples Samples
-	// longRate is this host's arriving prompt tokens of long requests a second,
-	// as of rateAt; othersRate is the same of its peers.
-	longRate, othersRate float64
-	rateAt               time.Time
+	// wanted is how many this host would have.
+	wanted int
+	// speaker is the host of the domain whose wish counts for it: the first by
+	// name. nearWanted is its wish, farWanted those of the other domains.
+	speaker    plan.HostID
+	nearWanted int
+	farWanted  []int
+	// samples are this host's measurements of the engines' speed, nearSamples
+	// and farSamples those of its domain's other hosts and of other domains.
+	samples, nearSamples, farSamples Samples
+}
+
+// forgetOthers forgets what was heard of other hosts.
+func (g *group) forgetOthers(self plan.HostID) {
+	g.speaker, g.nearWanted = self, 0
+	g.farWanted = g.farWanted[:0]
+	g.nearSamples, g.farSamples = Samples{}, Samples{}
+}
+
+// heardNear takes up what a host of the own domain says.
+func (g *group) heardNear(peer plan.HostID, r *Rate) {
+	g.nearSamples.add(&r.Samples)
+	if peer < g.speaker && r.Shorts > 0 {
+		g.speaker, g.nearWanted = peer, r.Shorts
+	}
+}
+
+// heardFar takes up what another domain says.
+func (g *group) heardFar(r *Rate) {
+	g.farSamples.add(&r.Samples)
+	if r.Shorts > 0 {
+		g.farWanted = append(g.farWanted, r.Shorts)
+	}
+}
+
+// domainWanted returns how many engines for short prompts the own domain would
+// have.
+func (g *group) domainWanted() int {
+	if g.nearWanted > 0 {
+		return g.nearWanted
+	}
+	return g.wanted
 }
 
 // inherit keeps what was measured before the list of upstreams changed. The
 // division is made anew.
 func (g *group) inherit(old *group) {
-	g.wanted, g.gaps, g.eventTokens = old.wanted, old.gaps, old.eventTokens
-	g.samples, g.longRate, g.rateAt = old.samples, old.longRate, old.rateAt
+	g.wanted, g.samples = old.wanted, old.samples
 }
 
 // spread sorts the targets: the first of each domain, the second of each domain,
@@ -73,23 +99,9 @@
 
 func placeOf(t *target) uint64 { return route.Hash("place", string(t.upstream.ID)) }
 
-// arrived counts the prompt tokens of a long request.
-func (g *group) arrived(now time.Time, class Class, missing int) {
-	if class != Long {
-		return
-	}
-	g.longRate = g.rate(now) + float64(missing)/rateSpan.Seconds()
-	g.rateAt = now
-}
-
-// rate returns this host's arriving prompt tokens a second.
-func (g *group) rate(now time.Time) float64 {
-	return g.longRate * math.Exp(-now.Sub(g.rateAt).Seconds()/rateSpan.Seconds())
-}
-
 // divide decides anew how many engines are for short prompts, and which. All
-// hosts should divide alike, since a subject's home depends on it: so each host
-// tells the others what it would do, and the median is done.
+// hosts should divide alike, since a subject's home depends on it: so one host of
+// each domain says what it would do, and the median of the domains is done.
 func (c *Core) divide(now time.Time, g *group, e *route.Engine) {
 	if now.Sub(g.divided) < divideEvery && g.shorts > 0 {
 		return
@@ -107,15 +119,16 @@
 		g.shorts = max(1, g.shorts)
 	} else {
 		g.wanted = g.wish(e, n, shorts)
-		g.shorts = min(n-1, median(append(g.othersWanted, g.wanted)))
+		g.shorts = min(n-1, median(append(g.farWanted[:len(g.farWanted):len(g.farWanted)], g.domainWanted())))
 	}
 	g.assign()
 }
 
-// usable says whether an engine takes part in the division: it takes work, was
-// reached lately, and its domain is heard.
+// usable says whether an engine takes part in the division: it takes work, and
+// its domain is heard. What only this host knows of it doesn't count, so that all
+// hosts divide alike.
 func (c *Core) usable(now time.Time, t *target) bool {
-	if t.upstream.State != route.Ready || t.misdirected || (t.misses >= missesMost && now.Before(t.shunnedUntil)) {
+	if t.upstream.State != route.Ready {
 		return false
 	}
 	return t.upstream.Domain == c.domain || !c.silent(now, t.upstream.Domain)
@@ -154,7 +167,8 @@
 // and the delay in milliseconds that comes besides.
 func (g *group) pace() (speed, delay float64) {
 	all := g.samples
-	all.add(&g.othersSamples)
+	all.add(&g.nearSamples)
+	all.add(&g.farSamples)
 	return all.fit()
 }
 
@@ -164,29 +178,34 @@
 	return list[(len(list)-1)/2]
 }
 
+// homesMost is the number of engines that may hold the parts of one subject.
+const homesMost = 3
+
 // homes returns the indexes of the targets that prompts of a class on a subject
-// belong to, by rendezvous hashing over the targets for the class that can take
-// work. Each is -1 where there is none.
-func (g *group) homes(subject string, class Class) (first, second int) {
-	from, to := 0, min(g.shorts, len(g.targets))
-	from, to = 0, len(g.targets)
-	first, second = -1, -1
-	var bar, secondBar uint64
-	for i := from; i < to; i++ {
-		u := g.targets[i].upstream
-		if u.State != route.Ready {
+// belong to, the first choice first, by rendezvous hashing over the targets for
+// the class.
+func (g *group) homes(subject string, class Class) []int {
+	var best [homesMost]int
+	var bars [homesMost]uint64
+	n := 0
+	for i, t := range g.targets {
+		if !t.usable || t.forLong != (class == Long) {
 			continue
 		}
-		h := route.Hash(subject, string(u.ID))
-		switch {
-		case first < 0 || h > bar:
-			second, secondBar = first, bar
-			first, bar = i, h
-		case second < 0 || h > secondBar:
-			second, secondBar = i, h
+		h := route.Hash(subject, string(t.upstream.ID))
+		at := n
+		for at > 0 && h > bars[at-1] {
+			at--
+		}
+		if at == homesMost {
+			continue
 		}
+		n = min(homesMost, n+1)
+		copy(best[at+1:n], best[at:n-1])
+		copy(bars[at+1:n], bars[at:n-1])
+		best[at], bars[at] = i, h
 	}
-	return first, second
+	return best[:n:n]
 }
 
 // failureFloor returns the lowest failure rate of the group, which is normal for
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -7,8 +7,15 @@
 	"mulberrydyke/route"
 )
 
-// reportLife is how long a peer's report counts.
-const reportLife = 1500 * time.Millisecond
+const (
+	// reportLife is how long a report counts.
+	reportLife = 1500 * time.Millisecond
+	// silentAfter is how old the report of another domain may be before the
+	// domain counts as cut off. It is longer than two lost messages.
+	silentAfter = 1200 * time.Millisecond
+	// domainLife is how long a domain is remembered that is not heard.
+	domainLife = time.Minute
+)
 
 // UpstreamKey stands for an upstream in reports. It is a hash of its ID.
 type UpstreamKey uint32
@@ -16,7 +23,7 @@
 // KeyOf returns the key of an upstream.
 func KeyOf(id plan.UpstreamID) UpstreamKey { return UpstreamKey(route.Hash(string(id))) }
 
-// Load is what one host runs on one upstream.
+// Load is what runs on one upstream.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream UpstreamKey
@@ -25,100 +32,195 @@
 	Plain    int
 	// Pending counts the prompt tokens that are not read yet.
 	Pending int
+	// Arriving counts the prompt tokens that were lately sent there in a second.
+	Arriving int
 }
 
-// Rate is what one host says of the requests for one service.
+// Rate is what is said of the requests for one service.
 type Rate struct {
 	_       struct{} `cbor:",toarray"`
 	Service plan.ServiceID
-	// Tokens counts the arriving prompt tokens of long requests, a second.
-	Tokens float64
-	// Shorts is how many engines the host would have for short prompts.
+	// Shorts is how many engines the sender would have for short prompts.
 	Shorts int
-	// Samples are the host's measurements of the engines' speed.
+	// Samples are measurements of the engines' speed.
 	Samples Samples
 }
 
-// Report is what one host says of its work.
+// Report is what one host, or one domain, says of its work.
 type Report struct {
 	_     struct{} `cbor:",toarray"`
 	Loads []Load
 	Rates []Rate
 }
 
-// peerState is the newest report of one peer.
+// peerState is the newest report of one host of the own domain.
 type peerState struct {
 	report Report
 	at     time.Time
 }
 
+// DomainState is the newest report of another domain.
+type DomainState struct {
+	Domain plan.DomainID
+	Hosts  int
+	Report Report
+	// At is when the report was made.
+	At time.Time
+}
+
 // Report returns what this host runs.
 func (c *Core) Report(now time.Time) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.peersChanged(now)
+	c.sumUp(now)
 	var r Report
 	for _, t := range c.targets {
-		if t.own.running() == 0 {
-			continue
-		}
-		r.Loads = append(r.Loads, Load{Upstream: t.key, Short: t.own.short, Long: t.own.long, Plain: t.own.plain, Pending: t.own.pending})
+		t.decay(now)
+		r.add(t.key, t.own)
 	}
 	for id, g := range c.services {
 		if g.wanted > 0 {
-			r.Rates = append(r.Rates, Rate{Service: id, Tokens: g.rate(now), Shorts: g.wanted, Samples: g.samples})
+			r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.wanted, Samples: g.samples})
 		}
 	}
 	return r
 }
 
-// silentAfter is how long no host of another domain is heard before the domain
-// counts as cut off. It is longer than one message's pause and a lost message.
-const silentAfter = 700 * time.Millisecond
+func (r *Report) add(k UpstreamKey, w work) {
+	if w.running() == 0 && w.arriving < 1 {
+		return
+	}
+	r.Loads = append(r.Loads, Load{
+		Upstream: k, Short: w.short, Long: w.long, Plain: w.plain, Pending: w.pending, Arriving: int(w.arriving),
+	})
+}
+
+// DomainReport returns what all hosts of the own domain run, and their number.
+func (c *Core) DomainReport(now time.Time) (Report, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sumUp(now)
+	var r Report
+	for _, t := range c.targets {
+		t.decay(now)
+		w := t.own
+		w.add(t.near)
+		r.add(t.key, w)
+	}
+	for id, g := range c.services {
+		if g.wanted == 0 {
+			continue
+		}
+		samples := g.samples
+		samples.add(&g.nearSamples)
+		r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.domainWanted(), Samples: samples})
+	}
+	return r, len(c.peers) + 1
+}
+
+// OtherDomains returns the newest report of each other domain that is not too
+// old to count.
+func (c *Core) OtherDomains(now time.Time) []DomainState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []DomainState
+	for _, d := range c.domains {
+		if now.Sub(d.At) <= reportLife {
+			out = append(out, *d)
+		}
+	}
+	return out
+}
+
+// OtherHosts returns the number of hosts of the other domains, as last heard.
+func (c *Core) OtherHosts() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, d := range c.domains {
+		n += d.Hosts
+	}
+	return n
+}
 
-// silent says whether a domain's hosts were heard once and are not any more.
+// silent says whether a domain was heard once and is not any more.
 func (c *Core) silent(now time.Time, d plan.DomainID) bool {
-	at, known := c.heard[d]
-	return known && now.Sub(at) > silentAfter
+	s, known := c.domains[d]
+	return known && now.Sub(s.At) > silentAfter
 }
 
-// Heard takes up the report of a peer in a domain.
-func (c *Core) Heard(now time.Time, peer plan.HostID, d plan.DomainID, r Report) {
+// Heard takes up the report of a host of the own domain.
+func (c *Core) Heard(now time.Time, peer plan.HostID, r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.heard[d] = now
 	c.peers[peer] = &peerState{report: r, at: now}
-	c.peersChanged(now)
+	c.sumUp(now)
+}
+
+// HeardDomain takes up the report of another domain, which was made at a time.
+func (c *Core) HeardDomain(at, now time.Time, d plan.DomainID, hosts int, r Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.domains[d]; old != nil && !at.After(old.At) {
+		return
+	}
+	c.domains[d] = &DomainState{Domain: d, Hosts: hosts, Report: r, At: at}
+	c.sumUp(now)
 }
 
-// peersChanged adds the peers' reports up anew. Old reports don't count.
-func (c *Core) peersChanged(now time.Time) {
+// sumUp adds all reports up anew. Old ones don't count.
+func (c *Core) sumUp(now time.Time) {
 	byKey := make(map[UpstreamKey]*target, len(c.targets))
 	for _, t := range c.targets {
-		t.others = work{}
+		t.near, t.far = work{}, work{}
 		byKey[t.key] = t
 	}
 	for _, g := range c.services {
-		g.othersRate = 0
-		g.othersWanted = g.othersWanted[:0]
-		g.othersSamples = Samples{}
+		g.forgetOthers(c.self)
 	}
 	for id, p := range c.peers {
 		if now.Sub(p.at) > reportLife {
 			delete(c.peers, id)
 			continue
 		}
-		for _, l := range p.report.Loads {
-			if t := byKey[l.Upstream]; t != nil {
-				t.others.add(work{short: l.Short, long: l.Long, plain: l.Plain, pending: l.Pending})
-			}
+		c.sumNear(id, &p.report, byKey)
+	}
+	for id, d := range c.domains {
+		switch age := now.Sub(d.At); {
+		case age > domainLife:
+			delete(c.domains, id)
+		case age <= reportLife:
+			c.sumFar(&d.Report, byKey)
+		}
+	}
+}
+
+func (c *Core) sumNear(peer plan.HostID, r *Report, byKey map[UpstreamKey]*target) {
+	for _, l := range r.Loads {
+		if t := byKey[l.Upstream]; t != nil {
+			t.near.add(l.work())
+		}
+	}
+	for _, rate := range r.Rates {
+		if g := c.services[rate.Service]; g != nil {
+			g.heardNear(peer, &rate)
+		}
+	}
+}
+
+func (c *Core) sumFar(r *Report, byKey map[UpstreamKey]*target) {
+	for _, l := range r.Loads {
+		if t := byKey[l.Upstream]; t != nil {
+			t.far.add(l.work())
 		}
-		for _, r := range p.report.Rates {
-			if g := c.services[r.Service]; g != nil {
-				g.othersRate += r.Tokens
-				g.othersWanted = append(g.othersWanted, r.Shorts)
-				g.othersSamples.add(&r.Samples)
-			}
+	}
+	for _, rate := range r.Rates {
+		if g := c.services[rate.Service]; g != nil {
+			g.heardFar(&rate)
 		}
 	}
 }
+
+func (l *Load) work() work {
+	return work{short: l.Short, long: l.Long, plain: l.Plain, pending: l.Pending, arriving: float64(l.Arriving)}
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"mulberrydyke/route"
@@ -14,9 +15,8 @@
 	// brokenMost is the number of broken connections in a row after which an
 	// upstream is left alone.
 	brokenMost = 2
-	// missesMost is the number of failures to reach an upstream in a row after
-	// which it takes no part in the division of engines.
-	missesMost = 2
+	// arriveSpan is the time over which arriving prompt tokens are averaged.
+	arriveSpan = 1500 * time.Millisecond
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.08
 )
@@ -27,9 +27,13 @@
 	plain       int
 	// pending counts the prompt tokens that are not read yet.
 	pending int
+	// arriving counts the prompt tokens sent there in a second, averaged over
+	// arriveSpan.
+	arriving float64
 }
 
 func (w *work) add(o work) {
+	w.arriving += o.arriving
 	w.short += o.short
 	w.long += o.long
 	w.plain += o.plain
@@ -45,8 +49,11 @@
 	key      UpstreamKey
 	// usable and forLong are the target's part in the division of the group.
 	usable, forLong bool
-	// own is what this host runs there, others what its peers last reported.
-	own, others work
+	// own is what this host runs there, near what the other hosts of its domain
+	// and far what the other domains last reported.
+	own, near, far work
+	// decayed is when own.arriving was last brought up to date.
+	decayed time.Time
 	// waiting holds this host's leases without a first event.
 	waiting map[*Lease]struct{}
 	// misdirected says that another upstream has the address. It holds until the
@@ -68,11 +75,20 @@
 // load returns all that is known to run on the upstream.
 func (t *target) load() work {
 	w := t.own
-	w.add(t.others)
+	w.add(t.near)
+	w.add(t.far)
 	return w
 }
 
+// decay brings own.arriving up to date.
+func (t *target) decay(now time.Time) {
+	t.own.arriving *= math.Exp(-now.Sub(t.decayed).Seconds() / arriveSpan.Seconds())
+	t.decayed = now
+}
+
 func (t *target) take(l *Lease) {
+	t.decay(l.Taken)
+	t.own.arriving += float64(l.Missing) / arriveSpan.Seconds()
 	t.waiting[l] = struct{}{}
 	t.own.pending += l.Missing
 	t.own.count(l.Class, 1)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -202,6 +202,7 @@
 func (h *Host) TableRead(t *route.Table) {
 	before, _ := h.Versions()
 	h.table.Store(t)
+	go h.node.Tell()
 	h.log.Info("table in force", "version", uint64(t.Version), "before", uint64(before), "routes", t.Routes())
 }
 
@@ -211,6 +212,7 @@
 	h.core.SetUpstreams(time.Now(), u)
 	h.links.Keep(u)
 	h.logUpstreams(before, u)
+	go h.node.Tell()
 }
 
 // logUpstreams writes a line for each upstream that came, changed or went.
@@ -242,8 +244,14 @@
 	return version, h.reader.AsOf()
 }
 
+// Reading implements gossip.Lists.
+func (h *Host) Reading() bool { return h.reader.Reading() }
+
+// SetReading implements gossip.Lists.
+func (h *Host) SetReading(must bool) { h.reader.SetReading(must) }
+
 // Snapshot implements gossip.Lists.
-func (h *Host) Snapshot() ([]byte, error) { return h.reader.Snapshot() }
+func (h *Host) Snapshot(since uint64) ([]byte, error) { return h.reader.Snapshot(since) }
 
 // Learn implements gossip.Lists.
 func (h *Host) Learn(raw []byte) error { return h.reader.Learn(raw) }
@@ -266,7 +274,6 @@
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Bounds.StopTime-stopMargin))
 	defer cancel()
 	h.gateway.Leave()
-	h.node.Leave()
 	clock.Pause(ctx, noticeTime)
 	err := h.callers.Shutdown(ctx)
 	h.log.Info("planned stop ended", "running", h.gateway.Running(), "took", time.Since(began), "cause", err)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -47,6 +47,9 @@
 	lastEvent   string
 	lastEventID int64
 	events      int
+	// retryAfter is when the caller may come back after a refusal for load. Zero
+	// means that there was none.
+	retryAfter time.Duration
 	// held is the last failure of an upstream that may be passed on.
 	held *answer
 	// status, first and cause are for the log.
@@ -105,9 +108,16 @@
 	if service == nil {
 		service = &route.Service{ID: x.service}
 	}
-	lease, err := s.Core.Take(s.Now(), dispatch.Query{Service: x.service, Prompt: &x.request.Prompt, Avoid: x.avoid, Target: x.route.Target, Gap: x.route.TargetGap}, service)
+	lease, err := s.Core.Take(s.Now(), dispatch.Query{
+		Service: x.service, Prompt: &x.request.Prompt, Avoid: x.avoid, Target: x.route.Target,
+		Urgency: dispatch.Urgency(x.route, x.account), Draw: rand.Float64(),
+	}, service)
 	if err != nil {
 		x.cause = err.Error()
+		var overload *dispatch.OverloadError
+		if errors.As(err, &overload) {
+			x.retryAfter = overload.RetryAfter
+		}
 		x.giveUp(ctx)
 		return ended
 	}
@@ -262,6 +272,9 @@
 	after := time.Duration(0)
 	if status == http.StatusServiceUnavailable {
 		after = refusalRetry + rand.N(refusalRetry/2)
+		if x.retryAfter > 0 {
+			after = x.retryAfter
+		}
 	}
 	writeRefusal(x.w, status, after, reason)
 	return ended
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -26,8 +26,11 @@
 // listsMethod is the name of the call.
 const listsMethod = "Lists.Fetch"
 
-// FetchRequest asks for the lists of a host.
-type FetchRequest struct{ Host plan.HostID }
+// FetchRequest asks for what a host has in its lists after a revision.
+type FetchRequest struct {
+	Host  plan.HostID
+	Since uint64
+}
 
 // FetchReply holds the lists of a host.
 type FetchReply struct{ Snapshot []byte }
@@ -36,8 +39,8 @@
 type listsService struct{ lists Lists }
 
 // Fetch returns this host's lists.
-func (s *listsService) Fetch(_ FetchRequest, out *FetchReply) error {
-	raw, err := s.lists.Snapshot()
+func (s *listsService) Fetch(in FetchRequest, out *FetchReply) error {
+	raw, err := s.lists.Snapshot(in.Since)
 	out.Snapshot = raw
 	return err
 }
@@ -67,7 +70,7 @@
 
 // fetch asks a peer for its lists and takes them up.
 func (n *Node) fetch(peer netip.Addr, table plan.Version, revision uint64) {
-	raw, err := fetchFrom(netip.AddrPortFrom(peer, n.Peers.Port()), n.Host)
+	raw, err := fetchFrom(netip.AddrPortFrom(peer, n.Peers.Port()), FetchRequest{Host: n.Host, Since: revision})
 	if err == nil {
 		err = n.Lists.Learn(raw)
 	}
@@ -80,7 +83,7 @@
 		"revision-before", revision, "revision", newRevision)
 }
 
-func fetchFrom(address netip.AddrPort, self plan.HostID) ([]byte, error) {
+func fetchFrom(address netip.AddrPort, request FetchRequest) ([]byte, error) {
 	dialer := net.Dialer{Timeout: fetchTimeout, Control: link.UserTimeout(ackTimeout)}
 	conn, err := dialer.Dial("tcp4", address.String())
 	if err != nil {
@@ -93,7 +96,7 @@
 	client := rpc.NewClient(conn)
 	defer client.Close()
 	var reply FetchReply
-	if err := client.Call(listsMethod, FetchRequest{Host: self}, &reply); err != nil {
+	if err := client.Call(listsMethod, request, &reply); err != nil {
 		return nil, eris.Wrap(err, "call")
 	}
 	if len(reply.Snapshot) > snapshotMost {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -9,19 +9,25 @@
 )
 
 const (
-	// liveFor is how long a host counts as there after its last message.
+	// liveFor is how long a host counts as there after its last message. It is
+	// longer than a few lost messages.
 	liveFor = 2 * time.Second
-	// retryDead is how often a host that is not there is sent a message.
-	retryDead = 1500 * time.Millisecond
-	// forgetAfter is how long a host that is not there is remembered.
+	// retryPause is how often a host that is not heard is sent a message.
+	retryPause = 1500 * time.Millisecond
+	// forgetAfter is how long a host that is not heard is remembered.
 	forgetAfter = 60 * time.Second
-	// fanout bounds the hosts that get each message.
-	fanout = 8
-	// farEvery is the messages of which a host of another domain gets one.
+	// fanout bounds the hosts of the own domain that get one message.
+	fanout = 10
+	// reporters is the number of hosts that speak for their domain. More than
+	// one, so that one can be lost.
+	reporters = 2
+	// farEvery is the messages of which another domain gets one: bytes between
+	// domains cost.
 	farEvery = 2
 )
 
-// member is what is known of one other host.
+// member is what is known of one other host. Its host and domain are empty until
+// it has been heard.
 type member struct {
 	addr   netip.Addr
 	host   plan.HostID
@@ -32,22 +38,24 @@
 	sequence    uint64
 	table       plan.Version
 	revision    uint64
+	reading     bool
 }
 
-// Members knows which hosts there are. It holds no clock and does no I/O.
+// Members knows which hosts there are. Hosts of one domain tell each other what
+// they run; the first few, by name, exchange sums with those of other domains.
+// It holds no clock and does no I/O.
 type Members struct {
 	self    netip.Addr
+	host    plan.HostID
 	domain  plan.DomainID
 	members map[netip.Addr]*member
-	// turn rotates through the live hosts where there are more than fanout.
-	turn int
-	// round counts the messages.
-	round int
+	// round counts the messages, turn rotates through the hosts of the domain.
+	round, turn int
 }
 
 // NewMembers returns members that know only the seeds.
-func NewMembers(now time.Time, self netip.Addr, domain plan.DomainID, seeds []netip.AddrPort) *Members {
-	m := &Members{self: self, domain: domain, members: map[netip.Addr]*member{}}
+func NewMembers(now time.Time, self netip.Addr, host plan.HostID, domain plan.DomainID, seeds []netip.AddrPort) *Members {
+	m := &Members{self: self, host: host, domain: domain, members: map[netip.Addr]*member{}}
 	m.Seed(now, seeds)
 	return m
 }
@@ -80,70 +88,151 @@
 	}
 	x.host, x.domain, x.heard = msg.Host, msg.Domain, now
 	x.incarnation, x.sequence = msg.Incarnation, msg.Sequence
-	x.table, x.revision = msg.Table, msg.Revision
+	x.table, x.revision, x.reading = msg.Table, msg.Revision, msg.Reading
 	for _, a := range msg.Peers {
 		m.learn(now, a)
 	}
 	return true
 }
 
-// Targets returns the hosts that get the next message, and notes that they do.
-// Hosts of other domains get every second one, since the bytes there cost.
-func (m *Members) Targets(now time.Time) []netip.Addr {
-	var live, out []netip.Addr
+func (m *member) live(now time.Time) bool { return now.Sub(m.heard) < liveFor }
+
+// near returns the live hosts of the own domain, in the order of their names.
+func (m *Members) near(now time.Time) []*member { return m.liveOf(now, m.domain) }
+
+func (m *Members) liveOf(now time.Time, d plan.DomainID) []*member {
+	var out []*member
+	for _, x := range m.members {
+		if x.domain == d && x.live(now) {
+			out = append(out, x)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].host < out[j].host })
+	return out
+}
+
+// Reporter says whether this host is one of those that speak for its domain.
+func (m *Members) Reporter(now time.Time) bool {
+	before := 0
+	for _, x := range m.near(now) {
+		if x.host < m.host {
+			before++
+		}
+	}
+	return before < reporters
+}
+
+// MustRead says whether this host has to hear the platform itself: fewer than
+// enough hosts of its domain that come before it do so.
+func (m *Members) MustRead(now time.Time) bool {
+	before := 0
+	for _, x := range m.near(now) {
+		if x.host < m.host && x.reading {
+			before++
+		}
+	}
+	return before < reporters
+}
+
+// Targets returns the hosts that get the next message, those of the own domain
+// and those of others, and notes that they do. All says that every host of the
+// own domain gets it.
+func (m *Members) Targets(now time.Time, all bool) (near, far []netip.Addr) {
 	m.round++
+	reporter := m.Reporter(now)
+	live := m.near(now)
+	n := min(len(live), fanout)
+	if all || reporter {
+		n = len(live)
+	}
+	for i := range n {
+		near = append(near, live[(m.turn+i)%len(live)].addr)
+	}
+	if len(live) > 0 {
+		m.turn = (m.turn + n) % len(live)
+	}
+	if reporter && m.round%farEvery == 0 {
+		far = m.farReporters(now)
+	}
+	silent := m.silent(now, reporter)
+	for _, a := range near {
+		m.members[a].sent = now
+	}
+	for _, a := range silent {
+		m.members[a].sent = now
+	}
+	return append(near, silent...), far
+}
+
+// farReporters returns the hosts that speak for the other domains.
+func (m *Members) farReporters(now time.Time) []netip.Addr {
+	domains := map[plan.DomainID]bool{}
+	for _, x := range m.members {
+		if x.domain != "" && x.domain != m.domain {
+			domains[x.domain] = true
+		}
+	}
+	var out []netip.Addr
+	for d := range domains {
+		list := m.liveOf(now, d)
+		for _, x := range list[:min(reporters, len(list))] {
+			out = append(out, x.addr)
+		}
+	}
+	return out
+}
+
+// silent returns the hosts that were not heard lately and may be there. Hosts
+// that don't speak for their domain leave those of other domains to the others
+// once they have heard any host of their own.
+func (m *Members) silent(now time.Time, reporter bool) []netip.Addr {
+	var out []netip.Addr
 	for a, x := range m.members {
 		switch {
-		case x.domain != m.domain && m.round%farEvery != 0 && now.Sub(x.heard) < liveFor:
-		case now.Sub(x.heard) < liveFor:
-			live = append(live, a)
+		case x.live(now):
 		case now.Sub(x.heard) > forgetAfter:
 			delete(m.members, a)
-		case now.Sub(x.sent) >= retryDead:
+		case now.Sub(x.sent) < retryPause:
+		case reporter || x.domain == m.domain || x.domain == "":
 			out = append(out, a)
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].Less(live[j]) })
-	if len(live) > fanout {
-		for i := range fanout {
-			out = append(out, live[(m.turn+i)%len(live)])
-		}
-		m.turn = (m.turn + fanout) % len(live)
-	} else {
-		out = append(out, live...)
-	}
-	for _, a := range out {
-		m.members[a].sent = now
-	}
 	return out
 }
 
-// Live returns the number of hosts that are there, this one included.
-func (m *Members) Live(now time.Time) int {
+// Live returns the number of hosts of the own domain that are there, this one
+// included.
+func (m *Members) Live(now time.Time) int { return len(m.near(now)) + 1 }
+
+// Known returns the number of hosts of the own domain that are there or were
+// lately, this one included.
+func (m *Members) Known() int {
 	n := 1
 	for _, x := range m.members {
-		if now.Sub(x.heard) < liveFor {
+		if x.domain == m.domain {
 			n++
 		}
 	}
 	return n
 }
 
-// Known returns the number of hosts that are there or were lately, this one
-// included.
-func (m *Members) Known() int { return len(m.members) + 1 }
-
-// Sample returns some hosts that are there, for a message.
+// Sample returns some hosts that are there, for a message. Successive calls
+// return different ones.
 func (m *Members) Sample(now time.Time) []netip.Addr {
-	var out []netip.Addr
+	var live []netip.Addr
 	for a, x := range m.members {
-		if len(out) == peersMost {
-			break
-		}
-		if now.Sub(x.heard) < liveFor {
-			out = append(out, a)
+		if x.live(now) {
+			live = append(live, a)
 		}
 	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Less(live[j]) })
+	if len(live) <= peersMost {
+		return live
+	}
+	out := make([]netip.Addr, 0, peersMost)
+	for i := range peersMost {
+		out = append(out, live[(m.round*peersMost+i)%len(live)])
+	}
 	return out
 }
 
@@ -151,10 +240,10 @@
 func (m *Members) Ahead(now time.Time, table plan.Version, revision uint64) (netip.Addr, bool) {
 	var best *member
 	for _, x := range m.members {
-		if now.Sub(x.heard) >= liveFor || (x.table <= table && x.revision <= revision) {
+		if !x.live(now) || (x.table <= table && x.revision <= revision) {
 			continue
 		}
-		if best == nil || x.revision > best.revision {
+		if best == nil || x.revision > best.revision || (x.revision == best.revision && x.host < best.host) {
 			best = x
 		}
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -13,7 +14,7 @@
 )
 
 // protocolVersion is raised with each change that older hosts can't read.
-const protocolVersion = 1
+const protocolVersion = 2
 
 const (
 	// messageMost bounds a datagram.
@@ -34,11 +35,26 @@
 	// Table and Revision are the versions of the lists that the host has.
 	Table    plan.Version `cbor:"6,keyasint"`
 	Revision uint64       `cbor:"7,keyasint"`
-	// Leaving says that the host is about to stop.
-	Leaving bool `cbor:"8,keyasint,omitempty"`
+	// Reading says that the host hears changes of the lists from the platform.
+	Reading bool `cbor:"8,keyasint,omitempty"`
 	// Peers are addresses of hosts that were heard lately.
-	Peers  []netip.Addr    `cbor:"9,keyasint,omitempty"`
+	Peers []netip.Addr `cbor:"9,keyasint,omitempty"`
+	// Report is what the host itself runs. Only hosts of its domain get it.
 	Report dispatch.Report `cbor:"10,keyasint"`
+	// Domains are whole domains' reports: in a message to another domain that of
+	// the sender's domain, else those of other domains.
+	Domains []DomainReport `cbor:"11,keyasint,omitempty"`
+}
+
+// DomainReport is what all hosts of one domain run.
+type DomainReport struct {
+	_      struct{} `cbor:",toarray"`
+	Domain plan.DomainID
+	// Hosts is the number of hosts that the report sums up.
+	Hosts int
+	// Age is how old the report is, without the way of the message.
+	Age    time.Duration
+	Report dispatch.Report
 }
 
 // DecodeError reports a datagram that is not a message.
@@ -64,7 +80,19 @@
 	case len(m.Peers) > peersMost:
 		return &DecodeError{Reason: "too many peers"}
 	}
-	for _, l := range m.Report.Loads {
+	for _, d := range m.Domains {
+		if d.Domain == "" || d.Hosts < 1 || d.Age < 0 {
+			return &DecodeError{Reason: "malformed report of a domain"}
+		}
+		if err := checkReport(&d.Report); err != nil {
+			return err
+		}
+	}
+	return checkReport(&m.Report)
+}
+
+func checkReport(r *dispatch.Report) error {
+	for _, l := range r.Loads {
 		if l.Short < 0 || l.Long < 0 || l.Plain < 0 || l.Pending < 0 {
 			return &DecodeError{Reason: "negative load"}
 		}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -21,15 +21,19 @@
 	// peer's lists: its own reader is given time to hear the same.
 	behindFor = 300 * time.Millisecond
 	// fetchPause is the pause between two fetches.
-	fetchPause = 500 * time.Millisecond
+	fetchPause = 100 * time.Millisecond
 )
 
 // Lists are what hosts hand to each other.
 type Lists interface {
 	// Versions returns what this host has.
 	Versions() (table plan.Version, revision uint64)
-	// Snapshot returns all lists in a form that Learn takes.
-	Snapshot() ([]byte, error)
+	// Reading says whether this host hears changes from the platform.
+	Reading() bool
+	// SetReading says whether this host has to hear changes from the platform.
+	SetReading(must bool)
+	// Snapshot returns what is newer than a revision, in a form that Learn takes.
+	Snapshot(since uint64) ([]byte, error)
 	// Learn takes up another host's lists where they are newer.
 	Learn(raw []byte) error
 }
@@ -60,8 +64,8 @@
 	// members is guarded by mu.
 	members  *Members
 	sequence uint64
-	leaving  bool
 	live     int
+	kicks    chan struct{}
 	// behindSince is when a peer was first seen to have newer lists.
 	behindSince time.Time
 	fetched     time.Time
@@ -73,7 +77,7 @@
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "listen for datagrams of peers")
 	}
-	n := &Node{Options: o, conn: conn, members: NewMembers(o.Now(), o.IP, o.Domain, o.Seeds), live: 1}
+	n := &Node{Options: o, conn: conn, members: NewMembers(o.Now(), o.IP, o.Host, o.Domain, o.Seeds), live: 1, kicks: make(chan struct{}, 1)}
 	closePeers, err := n.listenCalls()
 	if err != nil {
 		_ = conn.Close()
@@ -89,27 +93,20 @@
 	n.members.Seed(n.Now(), seeds)
 }
 
-// Leave tells the peers that this host is about to stop.
-func (n *Node) Leave() {
-	n.mu.Lock()
-	n.leaving = true
-	n.mu.Unlock()
-	n.send()
-}
-
-// Live returns the number of hosts that are there, this one included.
+// Live returns the number of hosts of the own domain that are there, this one
+// included.
 func (n *Node) Live() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.members.Live(n.Now())
 }
 
-// Known returns the number of hosts that are there or were lately, this one
-// included.
+// Known returns the number of hosts of all domains that are there or were
+// lately, this one included.
 func (n *Node) Known() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.members.Known()
+	return n.members.Known() + n.Core.OtherHosts()
 }
 
 // Receive reads messages until the socket is closed.
@@ -134,8 +131,36 @@
 	n.mu.Lock()
 	fresh := n.members.Heard(now, from, msg)
 	n.mu.Unlock()
-	if fresh {
-		n.Core.Heard(now, msg.Host, msg.Domain, msg.Report)
+	if !fresh {
+		return
+	}
+	if msg.Domain == n.Domain {
+		n.Core.Heard(now, msg.Host, msg.Report)
+	}
+	for _, d := range msg.Domains {
+		if d.Domain != n.Domain {
+			n.Core.HeardDomain(now.Add(-d.Age), now, d.Domain, d.Hosts, d.Report)
+		}
+	}
+	n.kick()
+}
+
+// Tell sends a message to all hosts of the own domain at once, because this host
+// has newer lists.
+func (n *Node) Tell() { n.send(true) }
+
+// kick has the lists of a peer that is ahead fetched soon.
+func (n *Node) kick() {
+	table, revision := n.Lists.Versions()
+	n.mu.Lock()
+	_, behind := n.members.Ahead(n.Now(), table, revision)
+	n.mu.Unlock()
+	if !behind {
+		return
+	}
+	select {
+	case n.kicks <- struct{}{}:
+	default:
 	}
 }
 
@@ -144,51 +169,79 @@
 	ticker := time.NewTicker(Interval)
 	defer ticker.Stop()
 	for {
-		n.send()
-		n.catchUp()
 		select {
 		case <-ticker.C:
+			n.send(false)
+			n.catchUp()
+		case <-n.kicks:
+			n.catchUp()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// send sends one message to the hosts whose turn it is.
-func (n *Node) send() {
+// send sends one message to the hosts whose turn it is, or to all of the domain.
+func (n *Node) send(all bool) {
 	now := n.Now()
 	table, revision := n.Lists.Versions()
+	reading := n.Lists.Reading()
 	n.mu.Lock()
 	n.sequence++
 	msg := &Message{
 		Protocol: protocolVersion, Host: n.Host, Domain: n.Domain, Incarnation: n.Incarnation, Sequence: n.sequence,
-		Table: table, Revision: revision, Leaving: n.leaving, Peers: n.members.Sample(now),
+		Table: table, Revision: revision, Reading: reading, Peers: n.members.Sample(now),
 	}
-	targets := n.members.Targets(now)
+	near, far := n.members.Targets(now, all)
+	reporter := n.members.Reporter(now)
+	must := n.members.MustRead(now)
 	live := n.members.Live(now)
 	changed := live != n.live
 	n.live = live
 	n.mu.Unlock()
+	n.Lists.SetReading(must)
 	if changed {
-		n.Log.Info("hosts in reach changed", "live", live)
+		n.Log.Info("hosts of the domain in reach changed", "live", live, "reporter", reporter, "reading", must)
 	}
 	msg.Report = n.Core.Report(now)
+	if reporter {
+		for _, d := range n.Core.OtherDomains(now) {
+			msg.Domains = append(msg.Domains, DomainReport{Domain: d.Domain, Hosts: d.Hosts, Age: now.Sub(d.At), Report: d.Report})
+		}
+	}
+	n.write(msg, near)
+	if len(far) == 0 {
+		return
+	}
+	whole, hosts := n.Core.DomainReport(now)
+	msg.Report = dispatch.Report{}
+	msg.Domains = []DomainReport{{Domain: n.Domain, Hosts: hosts, Report: whole}}
+	n.write(msg, far)
+}
+
+// write sends a message to hosts.
+func (n *Node) write(msg *Message, to []netip.Addr) {
+	if len(to) == 0 {
+		return
+	}
 	raw, err := msg.Encode()
 	if err != nil || len(raw) > messageMost {
 		n.Log.Error("message not sent", "bytes", len(raw), "cause", err)
 		return
 	}
-	for _, a := range targets {
+	for _, a := range to {
 		if _, err := n.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(a, n.Port)); err != nil {
 			n.Log.Warn("message not sent", "to", a.String(), "cause", err)
 		}
 	}
 }
 
-// catchUp fetches the lists of a peer that has been ahead for a while.
+// catchUp fetches the lists of a peer that is ahead. A host that hears the
+// platform itself gives it time to say the same.
 func (n *Node) catchUp() {
 	now := n.Now()
 	table, revision := n.Lists.Versions()
+	reading := n.Lists.Reading()
 	n.mu.Lock()
 	peer, behind := n.members.Ahead(now, table, revision)
 	if !behind {
@@ -196,7 +249,7 @@
 	} else if n.behindSince.IsZero() {
 		n.behindSince = now
 	}
-	due := behind && now.Sub(n.fetched) >= fetchPause && (table == 0 || now.Sub(n.behindSince) >= behindFor)
+	due := behind && (!reading || now.Sub(n.behindSince) >= behindFor) && now.Sub(n.fetched) >= fetchPause
 	if due {
 		n.fetched = now
 	}
