Measure the engines' speed as the 0.9 quantile of prompts whose parts are at home

Change: speed and delay are tracked as quantiles (0.9 and 0.1) of single measurements, of long prompts only those of which nothing shared was missing.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -89,10 +89,8 @@
 	Shorts int
 	// Pace is the measured reading speed of the service's engines, in tokens a
 	// millisecond.
-	Pace   float64
-	target *target
-	// alone says that no other prompt was to be read on the engine.
-	alone   bool
+	Pace    float64
+	target  *target
 	started bool
 	ended   bool
 	prompt  *call.Prompt
@@ -242,7 +240,7 @@
 	l := &Lease{
 		Upstream: best.target.upstream, Class: class, Missing: best.missing, Taken: now, target: best.target,
 		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
-		Shorts: g.shorts, Pace: speed, alone: best.target.load().pending == 0,
+		Shorts: g.shorts, Pace: speed,
 	}
 	best.target.take(l)
 	if class != Plain {
@@ -303,8 +301,8 @@
 func (c *Core) Started(now time.Time, l *Lease) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if g := c.services[l.Upstream.Service]; g != nil && !l.started && l.alone {
-		g.samples.measured(l.Missing, now.Sub(l.Taken))
+	if g := c.services[l.Upstream.Service]; g != nil && !l.started && l.Class != Plain {
+		g.own.measured(l.Missing, l.prompt.Own(), now.Sub(l.Taken))
 	}
 	l.start()
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -40,21 +40,21 @@
 	speaker    plan.HostID
 	nearWanted int
 	farWanted  []int
-	// samples are this host's measurements of the engines' speed, nearSamples
-	// and farSamples those of its domain's other hosts and of other domains.
-	samples, nearSamples, farSamples Samples
+	// own is the pace of the engines that this host measured, near and far what
+	// its domain's other hosts and the other domains did.
+	own, near, far Pace
 }
 
 // forgetOthers forgets what was heard of other hosts.
 func (g *group) forgetOthers(self plan.HostID) {
 	g.speaker, g.nearWanted = self, 0
 	g.farWanted = g.farWanted[:0]
-	g.nearSamples, g.farSamples = Samples{}, Samples{}
+	g.near, g.far = Pace{}, Pace{}
 }
 
 // heardNear takes up what a host of the own domain says.
 func (g *group) heardNear(peer plan.HostID, r *Rate) {
-	g.nearSamples.add(&r.Samples)
+	g.near = g.near.mix(r.Pace)
 	if peer < g.speaker && r.Shorts > 0 {
 		g.speaker, g.nearWanted = peer, r.Shorts
 	}
@@ -62,7 +62,7 @@
 
 // heardFar takes up what another domain says.
 func (g *group) heardFar(r *Rate) {
-	g.farSamples.add(&r.Samples)
+	g.far = g.far.mix(r.Pace)
 	if r.Shorts > 0 {
 		g.farWanted = append(g.farWanted, r.Shorts)
 	}
@@ -80,7 +80,7 @@
 // inherit keeps what was measured before the list of upstreams changed. The
 // division is made anew.
 func (g *group) inherit(old *group) {
-	g.wanted, g.samples = old.wanted, old.samples
+	g.wanted, g.own = old.wanted, old.own
 }
 
 // spread sorts the targets: the first of each domain, the second of each domain,
@@ -163,14 +163,9 @@
 	return min(most, max(least, want))
 }
 
-// pace returns the measured speed of the engines: tokens read in a millisecond,
+// pace returns the measured pace of the engines: tokens read in a millisecond,
 // and the delay in milliseconds that comes besides.
-func (g *group) pace() (speed, delay float64) {
-	all := g.samples
-	all.add(&g.nearSamples)
-	all.add(&g.farSamples)
-	return all.fit()
-}
+func (g *group) pace() (speed, delay float64) { return g.own.mix(g.near).mix(g.far).known() }
 
 // median returns the lower median of a list, which it sorts.
 func median(list []int) int {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -3,59 +3,80 @@
 import "time"
 
 const (
-	// paceFirst is the assumed reading speed of an engine, in tokens a
+	// speedFirst is the assumed speed of reading prompts, in tokens a
 	// millisecond, until it has been measured.
-	paceFirst = 75.0
-	// paceLeast and paceMost bound what is believed of a measurement.
-	paceLeast = 10.0
-	paceMost  = 1000.0
-	// paceSamples is the weight of samples from which a measurement is believed.
-	paceSamples = 20
-	// paceDecay is the weight that is left to earlier samples.
-	paceDecay = 0.985
+	speedFirst = 75.0
+	// speedLeast and speedMost bound what is believed of a measurement.
+	speedLeast = 20.0
+	speedMost  = 1000.0
+	// speedTokens is the fewest tokens from which the speed is measured, and
+	// delayTokens the most from which the delay is.
+	speedTokens = 1500
+	delayTokens = 1000
+	// speedQuantile and delayQuantile are the quantiles that are tracked: other
+	// prompts on the engine only make a measurement slower.
+	speedQuantile = 0.9
+	delayQuantile = 0.1
+	// quantileStep is the relative size of a step towards a quantile.
+	quantileStep = 0.1
+	// paceDecay is the weight that is left to earlier measurements.
+	paceDecay = 0.98
 )
 
-// Samples sums up measurements of how long engines take to the first event of a
-// prompt, by the number of tokens that they had to read. The speed of reading is
-// the slope; delays that don't depend on the tokens are the intercept.
-type Samples struct {
-	_      struct{} `cbor:",toarray"`
+// Pace is how fast engines read prompts when nothing else holds them up.
+type Pace struct {
+	_ struct{} `cbor:",toarray"`
+	// Speed is the tokens read in a millisecond.
+	Speed float64
+	// Delay is the time in milliseconds to the first event that does not depend
+	// on the prompt.
+	Delay float64
+	// Weight is the decayed number of measurements. Zero means none.
 	Weight float64
-	// Tokens and Millis are the sums of both, TokensSquared and Product those of
-	// the tokens' square and of tokens times milliseconds.
-	Tokens, Millis, TokensSquared, Product float64
 }
 
-func (s *Samples) add(o *Samples) {
-	s.Weight += o.Weight
-	s.Tokens += o.Tokens
-	s.Millis += o.Millis
-	s.TokensSquared += o.TokensSquared
-	s.Product += o.Product
+// measured takes up the time to the first event of a prompt. Of a long prompt,
+// only its own part may have been missing from the engine's cache.
+func (p *Pace) measured(missing, own int, first time.Duration) {
+	if p.Weight == 0 {
+		p.Speed, p.Delay = speedFirst, float64(first)/float64(time.Millisecond)
+	}
+	p.Weight = p.Weight*paceDecay + 1
+	span := float64(first) / float64(time.Millisecond)
+	switch {
+	case missing <= delayTokens:
+		p.Delay = track(p.Delay, max(1, span-float64(missing)/p.Speed), delayQuantile)
+	case missing >= speedTokens && missing <= own:
+		sample := float64(missing) / max(1, span-p.Delay)
+		p.Speed = min(speedMost, max(speedLeast, track(p.Speed, sample, speedQuantile)))
+	}
 }
 
-// measured takes up the time to the first event of a prompt that found no other
-// prompt to be read on its engine.
-func (s *Samples) measured(tokens int, first time.Duration) {
-	x, y := float64(tokens), float64(first)/float64(time.Millisecond)
-	s.Weight = s.Weight*paceDecay + 1
-	s.Tokens = s.Tokens*paceDecay + x
-	s.Millis = s.Millis*paceDecay + y
-	s.TokensSquared = s.TokensSquared*paceDecay + x*x
-	s.Product = s.Product*paceDecay + x*y
+// track moves an estimate of a quantile by one sample.
+func track(estimate, sample, quantile float64) float64 {
+	if sample > estimate {
+		return estimate + min(sample-estimate, quantileStep*quantile*estimate)
+	}
+	return estimate - min(estimate-sample, quantileStep*(1-quantile)*estimate)
 }
 
-// fit returns the tokens read in a millisecond, and the delay in milliseconds
-// that comes besides.
-func (s *Samples) fit() (speed, delay float64) {
-	spread := s.Weight*s.TokensSquared - s.Tokens*s.Tokens
-	if s.Weight < paceSamples || spread <= 0 {
-		return paceFirst, 0
+// mix returns the mean of two paces by their weights.
+func (p Pace) mix(o Pace) Pace {
+	total := p.Weight + o.Weight
+	if total == 0 {
+		return p
 	}
-	slope := (s.Weight*s.Product - s.Tokens*s.Millis) / spread
-	if slope <= 0 {
-		return paceMost, max(0, s.Millis/s.Weight)
+	return Pace{
+		Speed:  (p.Speed*p.Weight + o.Speed*o.Weight) / total,
+		Delay:  (p.Delay*p.Weight + o.Delay*o.Weight) / total,
+		Weight: total,
+	}
+}
+
+// known returns the pace, or an assumed one where nothing was measured.
+func (p Pace) known() (speed, delay float64) {
+	if p.Weight == 0 {
+		return speedFirst, 0
 	}
-	delay = max(0, (s.Millis-slope*s.Tokens)/s.Weight)
-	return min(paceMost, max(paceLeast, 1/slope)), delay
+	return p.Speed, p.Delay
 }
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -42,8 +42,8 @@
 	Service plan.ServiceID
 	// Shorts is how many engines the sender would have for short prompts.
 	Shorts int
-	// Samples are measurements of the engines' speed.
-	Samples Samples
+	// Pace is the measured pace of the service's engines.
+	Pace Pace
 }
 
 // Report is what one host, or one domain, says of its work.
@@ -80,7 +80,7 @@
 	}
 	for id, g := range c.services {
 		if g.wanted > 0 {
-			r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.wanted, Samples: g.samples})
+			r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.wanted, Pace: g.own})
 		}
 	}
 	return r
@@ -111,9 +111,7 @@
 		if g.wanted == 0 {
 			continue
 		}
-		samples := g.samples
-		samples.add(&g.nearSamples)
-		r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.domainWanted(), Samples: samples})
+		r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.domainWanted(), Pace: g.own.mix(g.near)})
 	}
 	return r, len(c.peers) + 1
 }
