--- a/cmd/mulberrydyke/main.go
+++ b/cmd/mulberrydyke/main.go
@@ -36,7 +36,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(serveCommand(), checkCommand(), statusCommand(), loadCommand(), standInCommand(), demoCommand(), versionCommand())
+	root.AddCommand(serveCommand(), checkCommand(), statusCommand(), loadCommand(), standInCommand(), demoCommand(), explainCommand(), versionCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	if err != nil {
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -6,12 +6,12 @@
 	// admitPart is the part of the target that the prompts before a request may
 	// take to read. Beyond it the request is refused: it would be late, and so
 	// would those after it.
-	admitPart = 0.9
+	admitPart = 0.25
 	// admitUrgent is the same for requests of accounts of the first rank, so that
 	// they are refused only where the others are.
-	admitUrgent = 1.8
+	admitUrgent = 0.5
 	// busyPart is the part of an engine's slots below which nothing is refused.
-	busyPart = 0.5
+	busyPart = 0.2
 	// returnLeast and returnMost bound when refused callers may come back.
 	returnLeast = 400 * time.Millisecond
 	returnMost  = 1500 * time.Millisecond
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -16,7 +16,7 @@
 	slotShare = 0.85
 	// shortsLeast and shortsMost bound the part of the engines for short prompts.
 	shortsLeast = 0.2
-	shortsMost  = 0.7
+	shortsMost  = 0.55
 	// shrinkRoom is the part of the engines for short prompts that may stand idle
 	// before there are fewer.
 	shrinkRoom = 0.35
--- a/edge/run.go
+++ b/edge/run.go
@@ -20,13 +20,14 @@
 		log.Error("start failed", "cause", err)
 		return err
 	}
+	log = log.With("host", string(settings.ID))
 	h, cleanup, err := Start(settings, log)
 	if err != nil {
-		log.Error("start failed", "host", string(settings.ID), "cause", err)
+		log.Error("start failed", "cause", err)
 		return err
 	}
 	defer cleanup()
-	log.Info("started", "host", string(settings.ID), "domain", string(settings.Domain), "callers", settings.Callers.String(), "seeds", len(settings.Seeds))
+	log.Info("started", "domain", string(settings.Domain), "callers", settings.Callers.String(), "seeds", len(settings.Seeds))
 	for s := range signals {
 		if s != syscall.SIGHUP {
 			break
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -240,6 +240,9 @@
 // giveUp ends a request that no further upstream may serve.
 func (x *exchange) giveUp(ctx context.Context) {
 	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		x.cause = "caller left"
+		x.abort()
 	case x.began:
 		x.abort()
 	case x.held != nil:
@@ -297,7 +300,7 @@
 		"events", x.events, "first", x.first, "pause", x.pause, "total", now.Sub(x.request.Arrived),
 	}
 	if l := x.lease; l != nil {
-		attrs = append(attrs, "upstream", string(l.Upstream.ID), "class", l.Class.String(), "urgency", x.urgency(l.Class), "missing", l.Missing, "cost", l.Cost, "candidates", l.Candidates, "shorts", l.Shorts, "pace", l.Pace)
+		attrs = append(attrs, "upstream", string(l.Upstream.ID), "class", l.Class.String(), "urgency", x.urgency(l.Class), "missing", l.Missing, "cost", l.Cost, "candidates", l.Candidates, "shorts", l.Shorts, "pace", int(l.Pace))
 	}
 	if x.cause != "" {
 		attrs = append(attrs, "cause", x.cause)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,7 +155,7 @@
 	if t := s.Table(); t != nil {
 		version = t.Version
 	}
-	s.Log.Info("request turned away", "id", id, "status", status, "reason", reason, "host", r.Host, "path", r.URL.Path, "table", uint64(version))
+	s.Log.Info("request turned away", "id", id, "status", status, "reason", reason, "to", r.Host, "path", r.URL.Path, "table", uint64(version))
 	s.Metrics.TurnedAway(status)
 	writeRefusal(w, status, after, reason)
 }
