--- /dev/null
+++ b/edge/edge_test.go
@@ -0,0 +1,129 @@
+package edge
+
+import (
+	"bufio"
+	"encoding/base64"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"mulberrydyke/setting"
+)
+
+// newStore returns a stand-in of the platform's store that publishes one route to
+// one upstream.
+func newStore(t *testing.T, upstream string) netip.AddrPort {
+	t.Helper()
+	table := `{"version":1,"routes":[{"name":"r","host":"127.0.0.4","prefix":"/","kind":"streaming","timeoutMs":5000,"service":"pool"}]}`
+	server := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1}`, upstream)
+	text := fmt.Sprintf(`{"items":[{"key":"op/config","value":%q,"revision":1},{"key":"servers/u1","value":%q,"revision":2}],"asOf":2}`, encode(table), encode(server))
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/kv-watch" {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(w, `{"events":[],"asOf":2}`)
+			return
+		}
+		_, _ = io.WriteString(w, text)
+	}))
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+// newUpstream returns the address of an upstream that streams two events, the
+// second when it is told to.
+func newUpstream(t *testing.T, more <-chan struct{}) string {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: x\n\n\r\n")
+		<-more
+		_, _ = io.WriteString(conn, "f\r\nid: 2\ndata: y\n\n\r\n0\r\n\r\n")
+	}()
+	return listener.Addr().String()
+}
+
+func freePorts(t *testing.T, n int) []uint16 {
+	t.Helper()
+	var out []uint16
+	for range n {
+		l, err := net.Listen("tcp4", "127.0.0.4:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		out = append(out, netip.MustParseAddrPort(l.Addr().String()).Port())
+	}
+	return out
+}
+
+// A planned stop tells the balancer at once and cuts off no stream in progress.
+func TestPlannedStopEndsWhatRuns(t *testing.T) {
+	more := make(chan struct{})
+	ip := netip.MustParseAddr("127.0.0.4")
+	ports := freePorts(t, 4)
+	h, cleanup, err := Start(setting.Edge{
+		ID: "h", Domain: "a", IP: ip, Callers: netip.AddrPortFrom(ip, ports[0]), Readiness: netip.AddrPortFrom(ip, ports[1]),
+		Peers: netip.AddrPortFrom(ip, ports[2]), GossipPort: ports[3], Platform: newStore(t, newUpstream(t, more)), Cores: 2, MemoryBytes: 1 << 30,
+		Bounds: setting.EdgeBounds{StopTime: 20 * time.Second, RetryWindow: time.Second, CacheLife: time.Second},
+	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	ready := fmt.Sprintf("http://%s:%d%s", ip, ports[1], readyPath)
+	for ask(t, ready) != http.StatusOK {
+		time.Sleep(time.Millisecond)
+	}
+	r, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/x", ip, ports[0]), nil)
+	r.Header.Set("Request-Id", "a")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		h.Stop()
+	}()
+	for ask(t, ready) == http.StatusOK {
+		time.Sleep(time.Millisecond)
+	}
+	close(more)
+	body, err := io.ReadAll(response.Body)
+	if want := "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"; err != nil || string(body) != want {
+		t.Errorf("body %q, error %v", body, err)
+	}
+	<-stopped
+}
+
+func ask(t *testing.T, url string) int {
+	t.Helper()
+	response, err := http.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func encode(text string) string { return base64.StdEncoding.EncodeToString([]byte(text)) }
--- /dev/null
+++ b/gateway/budget_test.go
@@ -0,0 +1,46 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"mulberrydyke/setting"
+)
+
+var budgetStart = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
+
+func spend(b *Budget, now time.Time) int {
+	n := 0
+	for b.Repeat(now, "pool") {
+		n++
+	}
+	return n
+}
+
+// All hosts together must stay under what the operators allow in any window.
+func TestRepeatsOfAllHostsStayWithinTheBudget(t *testing.T) {
+	bounds := setting.EdgeBounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 52}
+	const hosts, fresh = 6, 100
+	total := 0
+	for range hosts {
+		b := NewBudget(bounds, func() int { return hosts })
+		for range fresh {
+			b.Fresh(budgetStart, "pool")
+		}
+		total += spend(b, budgetStart)
+	}
+	if most := int(bounds.RetryRatio*hosts*fresh + bounds.RetryExtra); total == 0 || total > most {
+		t.Errorf("%d repeats, allowed are %d", total, most)
+	}
+}
+
+func TestBudgetComesBackWithItsWindow(t *testing.T) {
+	b := NewBudget(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 50}, func() int { return 1 })
+	first := spend(b, budgetStart)
+	if again := spend(b, budgetStart.Add(8*time.Second)); again != 0 {
+		t.Errorf("%d repeats inside the window", again)
+	}
+	if later := spend(b, budgetStart.Add(11*time.Second)); later != first {
+		t.Errorf("%d repeats in the next window, %d in the first", later, first)
+	}
+}
