--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -110,7 +110,7 @@
 		if class == Long && rank < 0 {
 			cost += strayCost
 		}
-		cost += g.overflow(load.running(), t.upstream.Slots)
+		cost += overflow(load.running(), t.upstream.Slots)
 		cost += intrusion(t, class, load, missing)
 	}
 	if stall > 0 {
@@ -141,7 +141,7 @@
 const overflowCost = 40.0
 
 // overflow returns the cost of an engine whose slots are nearly taken.
-func (g *group) overflow(running, slots int) float64 {
+func overflow(running, slots int) float64 {
 	if slots <= 0 {
 		return 0
 	}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -31,9 +31,11 @@
 )
 
 const (
-	// watchWait is how long a watch of the platform may hear nothing before it
-	// is asked anew. It bounds how long one is believed whose answer was lost.
-	watchWait = 3 * time.Second
+	// watchFactor times the time in which tables have to be in force is how long
+	// a watch of the platform may hear nothing before it is asked anew. It bounds
+	// how long one is believed whose answer was lost; other hosts' news come
+	// sooner.
+	watchFactor = 1.5
 	// memoryShare is the part of the machine's memory that the heap aims at.
 	memoryShare = 0.6
 	// headerTimeout bounds the reading of a request's head.
@@ -98,7 +100,8 @@
 		Dialect: platform.Dialect{}, Core: h.core, Links: links, Budget: h.budget, Table: h.table.Load, Current: h.current,
 		Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
-	reader, cleanup := platform.NewReader(s.Platform, watchWait, h, h.log)
+	wait := time.Duration(watchFactor * float64(s.Bounds.ApplyTime))
+	reader, cleanup := platform.NewReader(s.Platform, wait, h, h.log)
 	h.reader = reader
 	h.cleanups = append(h.cleanups, cleanup)
 	if err := h.buildGossip(); err != nil {
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -42,9 +42,6 @@
 	StopTime time.Duration
 	// ApplyTime is how soon a published table must be in force.
 	ApplyTime time.Duration
-	// SettleTime is how long a part must have worked before it counts as
-	// stable.
-	SettleTime time.Duration
 	// RetryRatio is the part of fresh requests that repeats may add, over all
 	// hosts, in one RetryWindow.
 	RetryRatio  float64
@@ -83,7 +80,7 @@
 		field string
 		span  time.Duration
 	}{
-		{"stop-time", b.StopTime}, {"apply-time", b.ApplyTime}, {"settle-time", b.SettleTime}, {"retry-window", b.RetryWindow},
+		{"stop-time", b.StopTime}, {"apply-time", b.ApplyTime}, {"retry-window", b.RetryWindow},
 	}
 	for _, s := range spans {
 		if s.span <= 0 {
