Stand-in engine: a dead process can't crash again

Cause: TestPoison counted three crashes in 6 of 40 runs. A trace of the runs showed two engines hit, never three: one engine had accepted two runs of the request before the first crashed it, and the stand-in then counted a second crash of the process that was already gone. Change: a request names the process that accepted it, and is lost with it.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -236,10 +236,14 @@
 	return e.faults.Down || now.Before(e.deadline)
 }
 
-// submit takes a request in. It returns nil where the engine died of it.
-func (e *Engine) submit(id, ticket, prompt string, output, priority int) *generation {
+// submit takes in a request that the process named by instance accepted. It
+// returns nil where that process died of it, or before it.
+func (e *Engine) submit(instance, id, ticket, prompt string, output, priority int) *generation {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.instance != instance {
+		return nil
+	}
 	mark := MarkOf(prompt)
 	g := &generation{
 		id: id, priority: priority, prompt: len(prompt)/charsPerToken + 1, blocks: blocksOf(prompt),
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -53,6 +53,7 @@
 func abort() { panic(http.ErrAbortHandler) }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	instance := e.Instance()
 	if e.isDown(time.Now()) {
 		abort()
 	}
@@ -60,7 +61,7 @@
 	if !web.ReadJSON(w, r, &request) {
 		return
 	}
-	w.Header().Set("X-Instance", e.Instance())
+	w.Header().Set("X-Instance", instance)
 	if e.Faults().Refuse {
 		http.Error(w, "refused before running", http.StatusServiceUnavailable)
 		return
@@ -74,7 +75,7 @@
 	if output <= 0 {
 		output = defaultOutput
 	}
-	g := e.submit(id, r.Header.Get("X-Ticket"), request.text(), output, priority)
+	g := e.submit(instance, id, r.Header.Get("X-Ticket"), request.text(), output, priority)
 	if g == nil {
 		abort()
 	}
