Keep contents that crash upstreams from all hosts

Cause: on the platform's path nothing joined the crashes of one request: each return of its caller could bring down upstreams anew, at any host. Change: package quarantine keeps the suspects of package pool by caller, path and body. A connection that the upstream dropped counts as a crash where the upstream takes no new one. Messages between hosts carry up to 16 suspects. What another host tells counts as long as it does there, so telling prolongs nothing.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -26,6 +26,7 @@
 	"mulberrydyke/gossip"
 	"mulberrydyke/plan"
 	"mulberrydyke/platform"
+	"mulberrydyke/quarantine"
 	"mulberrydyke/route"
 	"mulberrydyke/setting"
 )
@@ -60,6 +61,7 @@
 	core      *dispatch.Core
 	links     *gateway.Links
 	budget    *gateway.Budget
+	suspects  *quarantine.Table
 	gateway   *gateway.Server
 	reader    *platform.Reader
 	node      *gossip.Node
@@ -96,9 +98,10 @@
 	h.links = links
 	h.cleanups = append(h.cleanups, cleanup)
 	h.budget = gateway.NewBudget(s.Bounds, h.sharers)
+	h.suspects = quarantine.NewTable()
 	h.gateway = gateway.NewServer(gateway.Options{
-		Dialect: platform.Dialect{}, Core: h.core, Links: links, Budget: h.budget, Table: h.table.Load, Current: h.current,
-		Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
+		Dialect: platform.Dialect{}, Core: h.core, Links: links, Budget: h.budget, Quarantine: h.suspects,
+		Table: h.table.Load, Current: h.current, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	wait := time.Duration(watchFactor * float64(s.Bounds.ApplyTime))
 	reader, cleanup := platform.NewReader(s.Platform, wait, h, h.log)
@@ -117,7 +120,7 @@
 	s := h.settings
 	node, cleanup, err := gossip.Listen(gossip.Options{
 		Host: s.ID, Domain: s.Domain, Incarnation: rand.Uint64() | 1, IP: s.IP, Port: s.GossipPort, Peers: s.Peers, Seeds: s.Seeds,
-		Core: h.core, Lists: h, Log: h.log, Now: time.Now,
+		Core: h.core, Quarantine: h.suspects, Lists: h, Log: h.log, Now: time.Now,
 	})
 	if err != nil {
 		return err
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -104,6 +104,10 @@
 	if !x.reroute() {
 		return x.refuse(0, "the route was withdrawn")
 	}
+	if left := x.quarantined(); left > 0 {
+		x.retryAfter = left
+		return x.refuse(0, "a request like this crashed upstreams")
+	}
 	service := x.table.Services[x.service]
 	if service == nil {
 		service = &route.Service{ID: x.service}
@@ -230,6 +234,7 @@
 	}
 	x.server.Core.End(x.server.Now(), lease, r)
 	x.server.Metrics.Tried(r)
+	x.suspect(lease, r, err)
 	if r == dispatch.Done || r == dispatch.Abandoned {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
+	"mulberrydyke/quarantine"
 	"mulberrydyke/route"
 )
 
@@ -33,6 +34,8 @@
 	Core    *dispatch.Core
 	Links   *Links
 	Budget  *Budget
+	// Quarantine holds the contents that crash upstreams.
+	Quarantine *quarantine.Table
 	// Table returns the table in force, or nil while none is known.
 	Table func() *route.Table
 	// Current returns the upstream as it is listed now, or nil.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
 	"mulberrydyke/platform"
+	"mulberrydyke/quarantine"
 	"mulberrydyke/route"
 	"mulberrydyke/setting"
 )
@@ -207,7 +208,7 @@
 	t.Cleanup(cleanup)
 	bounds := setting.EdgeBounds{RetryRatio: 1, RetryWindow: 10 * time.Second, RetryExtra: 100}
 	f.server = NewServer(Options{
-		Dialect: platform.Dialect{}, Core: f.core, Links: links, Budget: NewBudget(bounds, func() int { return 1 }),
+		Dialect: platform.Dialect{}, Core: f.core, Links: links, Budget: NewBudget(bounds, func() int { return 1 }), Quarantine: quarantine.NewTable(),
 		Table: func() *route.Table {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -17,6 +17,8 @@
 
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
+	"mulberrydyke/pool"
+	"mulberrydyke/quarantine"
 )
 
 var start = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
@@ -195,6 +197,7 @@
 		Rates: []dispatch.Rate{{Service: "pool", Shorts: 3, Pace: dispatch.Pace{Speed: 70, Delay: 20, Weight: 4}}},
 	}
 	m.Domains = []DomainReport{{Domain: "b", Hosts: 4, Age: time.Second}}
+	m.Suspects = []pool.Suspect{{Content: 8, Crashes: []pool.Crash{{Upstream: "u1", Instance: "i"}}, Left: time.Second}}
 	raw, err := m.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -211,10 +214,12 @@
 
 func TestMessagesThatAreNotValid(t *testing.T) {
 	for name, change := range map[string]func(*Message){
-		"another protocol": func(m *Message) { m.Protocol = 1 },
-		"no sender":        func(m *Message) { m.Host = "" },
-		"too many peers":   func(m *Message) { m.Peers = make([]netip.Addr, peersMost+1) },
-		"negative load":    func(m *Message) { m.Report.Loads = []dispatch.Load{{Pending: -1}} },
+		"another protocol":          func(m *Message) { m.Protocol = 1 },
+		"no sender":                 func(m *Message) { m.Host = "" },
+		"too many peers":            func(m *Message) { m.Peers = make([]netip.Addr, peersMost+1) },
+		"negative load":             func(m *Message) { m.Report.Loads = []dispatch.Load{{Pending: -1}} },
+		"too many suspects":         func(m *Message) { m.Suspects = make([]pool.Suspect, suspectsMost+1) },
+		"a suspect without crashes": func(m *Message) { m.Suspects = []pool.Suspect{{Content: 1}} },
 		"a nameless domain": func(m *Message) {
 			m.Domains = []DomainReport{{Hosts: 1}}
 		},
@@ -276,7 +281,7 @@
 		n, cleanup, err := Listen(Options{
 			Host: plan.HostID(ip.String()), Domain: "a", Incarnation: 1, IP: ip, Port: port, Peers: netip.AddrPortFrom(ip, port),
 			Seeds: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:1"), netip.MustParseAddrPort("127.0.0.3:1")},
-			Core:  dispatch.NewCore("h", "a", time.Second), Lists: lists, Log: slog.New(slog.DiscardHandler), Now: time.Now,
+			Core:  dispatch.NewCore("h", "a", time.Second), Quarantine: quarantine.NewTable(), Lists: lists, Log: slog.New(slog.DiscardHandler), Now: time.Now,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -11,6 +11,7 @@
 
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
+	"mulberrydyke/pool"
 )
 
 // protocolVersion is raised with each change that older hosts can't read.
@@ -19,6 +20,8 @@
 const (
 	// messageMost bounds a datagram.
 	messageMost = 8 << 10
+	// suspectsMost bounds the suspects that one message names.
+	suspectsMost = 16
 	// peersMost bounds the peers that one message names.
 	peersMost = 6
 )
@@ -44,6 +47,8 @@
 	// Domains are whole domains' reports: in a message to another domain that of
 	// the sender's domain, else those of other domains.
 	Domains []DomainReport `cbor:"11,keyasint,omitempty"`
+	// Suspects are contents that were running on upstreams that crashed.
+	Suspects []pool.Suspect `cbor:"12,keyasint,omitempty"`
 }
 
 // DomainReport is what all hosts of one domain run.
@@ -79,6 +84,13 @@
 		return &DecodeError{Reason: "no sender"}
 	case len(m.Peers) > peersMost:
 		return &DecodeError{Reason: "too many peers"}
+	case len(m.Suspects) > suspectsMost:
+		return &DecodeError{Reason: "too many suspects"}
+	}
+	for _, s := range m.Suspects {
+		if s.Content == 0 || len(s.Crashes) == 0 || s.Left < 0 {
+			return &DecodeError{Reason: "malformed suspect"}
+		}
 	}
 	for _, d := range m.Domains {
 		if d.Domain == "" || d.Hosts < 1 || d.Age < 0 {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -12,6 +12,7 @@
 
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
+	"mulberrydyke/quarantine"
 )
 
 const (
@@ -51,9 +52,11 @@
 	Peers netip.AddrPort
 	Seeds []netip.AddrPort
 	Core  *dispatch.Core
-	Lists Lists
-	Log   *slog.Logger
-	Now   func() time.Time
+	// Quarantine holds what hosts saw of contents that crash upstreams.
+	Quarantine *quarantine.Table
+	Lists      Lists
+	Log        *slog.Logger
+	Now        func() time.Time
 }
 
 // Node exchanges messages with the other hosts.
@@ -144,6 +147,9 @@
 			n.Core.HeardDomain(now.Add(-d.Age), now, d.Domain, d.Hosts, d.Report)
 		}
 	}
+	if len(msg.Suspects) > 0 && n.Quarantine.Learn(now, msg.Suspects) {
+		n.Log.Info("suspects told", "by", string(msg.Host), "suspects", len(msg.Suspects))
+	}
 	n.kick()
 }
 
@@ -205,6 +211,7 @@
 	if changed {
 		n.Log.Info("hosts of the domain in reach changed", "live", live, "reporter", reporter, "reading", must)
 	}
+	msg.Suspects = n.Quarantine.Told(now)
 	msg.Report = n.Core.Report(now)
 	if reporter {
 		for _, d := range n.Core.OtherDomains(now) {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"mulberrydyke/call"
 )
 
@@ -36,6 +38,11 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
+// Dropped says that the upstream closed the connection, and not the path to it.
+func (e *BrokenError) Dropped() bool {
+	return errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF) || errors.Is(e.Cause, unix.ECONNRESET)
+}
+
 // errStray is the cause where only answers to other requests came.
 var errStray = errors.New("answer belongs to another request")
 
--- a/link/pool.go
+++ b/link/pool.go
@@ -106,6 +106,17 @@
 	return &Conn{net: raw, read: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// Refuses says whether no new connection can be opened, as after the death of
+// the upstream's process. A connection that was opened is kept.
+func (p *Pool) Refuses(ctx context.Context, now time.Time) bool {
+	c, err := p.Dial(ctx)
+	if err != nil {
+		return true
+	}
+	p.Put(c, call.Reply{}, now)
+	return false
+}
+
 func (p *Pool) take() *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -56,6 +56,11 @@
 // RecordCrash records that content was running when an upstream crashed. A second
 // crash quarantines it for the given span.
 func (s *Suspects) RecordCrash(now time.Time, content ContentHash, crash Crash, quarantine time.Duration) {
+	s.record(now, content, crash, suspectLife, quarantine)
+}
+
+// record adds a crash. Life is how long a first one counts.
+func (s *Suspects) record(now time.Time, content ContentHash, crash Crash, life, quarantine time.Duration) {
 	if content == 0 {
 		return
 	}
@@ -64,7 +69,7 @@
 		if len(s.byContent) >= suspectMost {
 			return
 		}
-		entry = &suspicion{until: now.Add(suspectLife)}
+		entry = &suspicion{until: now.Add(life)}
 		s.byContent[content] = entry
 	}
 	if slices.Contains(entry.crashes, crash) || len(entry.crashes) >= crashLimit {
@@ -79,13 +84,14 @@
 	}
 }
 
-// Merge adds what another host knows. It returns whether anything was new.
+// Merge adds what another host knows, for as long as it counts there. It returns
+// whether anything was new.
 func (s *Suspects) Merge(now time.Time, other []Suspect, quarantine time.Duration) bool {
 	before := s.changed
 	s.changed = false
 	for _, o := range other {
 		for _, c := range o.Crashes {
-			s.RecordCrash(now, o.Content, c, min(quarantine, o.Left))
+			s.record(now, o.Content, c, min(suspectLife, o.Left), min(quarantine, o.Left))
 		}
 	}
 	fresh := s.changed
