Keep to the connections that upstreams take; cap what is left alone

Cause: maxConnections was read and not used, and a host that reached few upstreams sent those all its load, since any number could be left alone. Change: an upstream that has as many requests from all hosts as it takes connections is not chosen; idle connections are kept to what is spare, divided by the hosts. Where more than half of the upstreams are left alone after failures, all are tried, those that failed last at a cost. The cost of the longest unshunned ones was counted as negative there: mended. Tests: TestNoMoreRequestsThanConnections and TestFewUpstreamsAreNotLeftWithAllTheLoad fail without the mechanism.

--- /dev/null
+++ b/dispatch/bound_test.go
@@ -0,0 +1,56 @@
+package dispatch
+
+import (
+	"testing"
+
+	"mulberrydyke/call"
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
+)
+
+// Pattern: one service, many callers at six hosts, each request held for long.
+// An upstream takes a bounded number of connections from all hosts together.
+func TestNoMoreRequestsThanConnections(t *testing.T) {
+	c := newTestCore("h", 1)
+	bounded := &route.Service{ID: "pool", Connections: 3}
+	c.Heard(start, "other", Report{Loads: []Load{{Upstream: KeyOf("b0"), Plain: 2}, {Upstream: KeyOf("c0"), Plain: 3}}})
+	taken := map[plan.UpstreamID]int{}
+	for range 4 {
+		l, err := c.Take(start, query(&call.Prompt{}), bounded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken[l.Upstream.ID]++
+	}
+	if taken["a0"] != 3 || taken["b0"] != 1 || taken["c0"] != 0 {
+		t.Errorf("taken: %v", taken)
+	}
+	if l, err := c.Take(start, query(&call.Prompt{}), bounded); err == nil {
+		t.Errorf("%s was given one more than it takes", l.Upstream.ID)
+	}
+	if got := c.Spare(c.targets["b0"].upstream, 9, 3); got != 2 {
+		t.Errorf("%d idle connections may be kept, want a third of the six that are left", got)
+	}
+}
+
+// Pattern: a host's own link is cut for a moment, so that it reaches hardly any
+// upstream, then it heals. The few that it still reached don't take all its load.
+func TestFewUpstreamsAreNotLeftWithAllTheLoad(t *testing.T) {
+	c := newTestCore("h", 4)
+	for id, u := range c.targets {
+		if id != "a0" {
+			u.shun(start)
+		}
+	}
+	taken := map[plan.UpstreamID]int{}
+	for range 300 {
+		l, err := c.Take(at(shunFirst*9/10), query(&call.Prompt{}), plainService)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken[l.Upstream.ID]++
+	}
+	if taken["a0"] > 150 || len(taken) < 4 {
+		t.Errorf("taken: %v", taken)
+	}
+}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -30,6 +30,9 @@
 	intrudePerShort = 40.0
 	// failureCost is for an upstream that fails all requests.
 	failureCost = 1500.0
+	// shunnedCost is for an upstream that could not be reached, for each second
+	// that it is left alone yet.
+	shunnedCost = 1000.0
 	// stallAfter is the wait for a first event beyond which an upstream is
 	// suspected to answer nobody, beside what its load explains.
 	stallAfter = 350 * time.Millisecond
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -224,9 +224,9 @@
 	if class != Plain {
 		c.divide(now, g, s.Engine)
 	}
-	best := c.best(now, g, class, &q, false)
+	best := c.best(now, g, class, &q, s, g.tooManyShunned(now))
 	if best.target == nil {
-		best = c.best(now, g, class, &q, true)
+		best = c.best(now, g, class, &q, s, true)
 	}
 	if best.target == nil {
 		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
@@ -257,9 +257,9 @@
 	candidates int
 }
 
-// best returns the cheapest upstream. With desperate it also considers those
-// that failed lately.
-func (c *Core) best(now time.Time, g *group, class Class, q *Query, desperate bool) choice {
+// best returns the cheapest upstream that has a connection left. With desperate
+// it also considers those that failed lately.
+func (c *Core) best(now time.Time, g *group, class Class, q *Query, s *route.Service, desperate bool) choice {
 	found := choice{cost: math.Inf(1)}
 	var homes []int
 	if class != Plain {
@@ -269,7 +269,8 @@
 		if t.upstream.State != route.Ready || t.misdirected || avoided(q.Avoid, t.upstream.ID) {
 			continue
 		}
-		if !desperate && now.Before(t.shunnedUntil) {
+		shunned := t.shunnedUntil.Sub(now)
+		if shunned > 0 && !desperate || t.full(s) {
 			continue
 		}
 		found.candidates++
@@ -278,9 +279,7 @@
 			missing = c.missing(now, t, rank, q.Prompt)
 		}
 		cost := c.cost(now, g, t, class, missing, rank, q)
-		if desperate {
-			cost += t.shunnedUntil.Sub(now).Seconds() * 1000
-		}
+		cost += shunnedCost * max(0, shunned.Seconds())
 		if cost < found.cost {
 			found.target, found.cost, found.missing = t, cost, missing
 		}
@@ -320,3 +319,17 @@
 		c.cache.forget(l.Upstream.ID, l.prompt)
 	}
 }
+
+// Spare returns how many idle connections a host may keep to an upstream that
+// takes a number of connections from all hosts. Requests that run there, of any
+// host, go first.
+func (c *Core) Spare(u *route.Upstream, connections, hosts int) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.targets[u.ID]
+	if t == nil {
+		return 0
+	}
+	load := t.load()
+	return max(0, connections-load.running()) / max(1, hosts)
+}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -203,6 +203,26 @@
 	return best[:n:n]
 }
 
+// shunnedMost is the part of the upstreams that may be left alone after failures
+// while others are there. Beyond it the cause is rather on the way than in them,
+// and the few that are left would take all the load.
+const shunnedMost = 0.5
+
+// tooManyShunned says whether more upstreams are left alone than shunnedMost.
+func (g *group) tooManyShunned(now time.Time) bool {
+	ready, shunned := 0, 0
+	for _, t := range g.targets {
+		if t.upstream.State != route.Ready {
+			continue
+		}
+		ready++
+		if now.Before(t.shunnedUntil) {
+			shunned++
+		}
+	}
+	return float64(shunned) > shunnedMost*float64(ready)
+}
+
 // failureFloor returns the lowest failure rate of the group, which is normal for
 // the service.
 func (g *group) failureFloor() float64 {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -80,6 +80,13 @@
 	return w
 }
 
+// full says whether the callers of the upstream, this host and the others, have
+// as many requests there as it takes connections.
+func (t *target) full(s *route.Service) bool {
+	load := t.load()
+	return s.Connections > 0 && load.running() >= s.Connections
+}
+
 // decay brings own.arriving up to date.
 func (t *target) decay(now time.Time) {
 	t.own.arriving *= math.Exp(-now.Sub(t.decayed).Seconds() / arriveSpan.Seconds())
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -42,7 +42,7 @@
 		return repeat
 	}
 	now := s.Now()
-	sent.Finish(s.Links.Of(lease.Upstream), now)
+	x.keep(sent, lease)
 	s.Core.Started(now, lease)
 	x.first = now.Sub(x.request.Arrived)
 	reply := sent.Reply
@@ -88,6 +88,16 @@
 	_, _ = x.w.Write(a.body) // a caller that left needs no answer
 }
 
+// keep puts the connection of a whole exchange back. All hosts together keep no
+// more than the upstream takes.
+func (x *exchange) keep(sent *link.Exchange, lease *dispatch.Lease) {
+	s, most := x.server, link.NoLimit
+	if service := x.table.Services[x.service]; service != nil && service.Connections > 0 {
+		most = s.Core.Spare(lease.Upstream, service.Connections, s.Budget.hosts())
+	}
+	sent.Finish(s.Links.Of(lease.Upstream), s.Now(), most)
+}
+
 // drain reads the rest of an answer that nobody needs, and keeps its connection
 // where that is cheap.
 func (x *exchange) drain(sent *link.Exchange, lease *dispatch.Lease) {
@@ -96,5 +106,5 @@
 		sent.Close()
 		return
 	}
-	sent.Finish(x.server.Links.Of(lease.Upstream), x.server.Now())
+	x.keep(sent, lease)
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,7 +91,7 @@
 // finishStream ends a whole stream. An upstream's answer without any event is
 // passed on as it is.
 func (x *exchange) finishStream(ctx context.Context, lease *dispatch.Lease, sent *link.Exchange) {
-	sent.Finish(x.server.Links.Of(lease.Upstream), x.server.Now())
+	x.keep(sent, lease)
 	x.end(ctx, lease, dispatch.Done, nil)
 	x.cause = ""
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -68,6 +69,7 @@
 	members  *Members
 	sequence uint64
 	live     int
+	known    atomic.Int64
 	kicks    chan struct{}
 	// behindSince is when a peer was first seen to have newer lists.
 	behindSince time.Time
@@ -107,12 +109,8 @@
 }
 
 // Known returns the number of hosts of all domains that are there or were
-// lately, this one included.
-func (n *Node) Known() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.members.Known() + n.Core.OtherHosts()
-}
+// lately, this one included, as of the last message sent.
+func (n *Node) Known() int { return int(max(1, n.known.Load())) }
 
 // Receive reads messages until the socket is closed.
 func (n *Node) Receive() {
@@ -206,6 +204,7 @@
 	live := n.members.Live(now)
 	changed := live != n.live
 	n.live = live
+	n.known.Store(int64(n.members.Known() + n.Core.OtherHosts()))
 	n.mu.Unlock()
 	n.Lists.SetReading(must)
 	if changed {
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -152,9 +152,10 @@
 // Cause returns why a read of the body failed.
 func (x *Exchange) Cause(err error) error { return &BrokenError{Step: "body", Cause: x.cause(err)} }
 
-// Finish puts the connection back after the whole answer was read. It is closed
-// where the request was not sent whole.
-func (x *Exchange) Finish(p *Pool, now time.Time) {
+// Finish puts the connection back after the whole answer was read, unless the
+// pool has most idle ones already. It is closed where the request was not sent
+// whole.
+func (x *Exchange) Finish(p *Pool, now time.Time, most int) {
 	if !x.stop() {
 		x.conn.Close()
 		return
@@ -169,7 +170,7 @@
 		x.conn.Close()
 		return
 	}
-	p.Put(x.conn, x.Reply, now)
+	p.Put(x.conn, x.Reply, now, most)
 }
 
 // Close ends the exchange and its connection, which ends the request at the
--- a/link/pool.go
+++ b/link/pool.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"sync"
 	"time"
@@ -113,7 +114,7 @@
 	if err != nil {
 		return true
 	}
-	p.Put(c, call.Reply{}, now)
+	p.Put(c, call.Reply{}, now, NoLimit)
 	return false
 }
 
@@ -128,9 +129,12 @@
 	return c
 }
 
-// Put keeps a connection after a whole exchange. Reply is the head of the last
-// answer.
-func (p *Pool) Put(c *Conn, reply call.Reply, now time.Time) {
+// NoLimit keeps any number of idle connections.
+const NoLimit = math.MaxInt
+
+// Put keeps a connection after a whole exchange, unless there are most idle ones
+// already. Reply is the head of the last answer.
+func (p *Pool) Put(c *Conn, reply call.Reply, now time.Time, most int) {
 	life := idleDefault
 	if reply.IdleLife > 0 {
 		life = reply.IdleLife - idleMargin
@@ -143,7 +147,7 @@
 	c.idleUntil = now.Add(life)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || len(p.free) >= most {
 		c.Close()
 		return
 	}
