--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,13 +50,19 @@
 	stopMargin = 300 * time.Millisecond
 	// readyPath is asked by the balancer.
 	readyPath = "/ready"
+	// tableDelayMetric is the time from the first host's hearing a new table from
+	// the platform to its being in force here.
+	tableDelayMetric = "mulberrydyke_table_delay_seconds"
 	// metricsPath is asked by operators.
 	metricsPath = "/metrics"
 )
 
 // Host is one entry host.
 type Host struct {
-	settings  setting.Edge
+	// settings are those of the start.
+	settings setting.Edge
+	// bounds are those in force.
+	bounds    atomic.Pointer[setting.EdgeBounds]
 	log       *slog.Logger
 	core      *dispatch.Core
 	links     *gateway.Links
@@ -79,11 +85,11 @@
 // Start starts a host. The returned function stops it at once; Stop is the
 // planned way.
 func Start(s setting.Edge, log *slog.Logger) (*Host, func(), error) {
-	runtime.GOMAXPROCS(s.Cores)
-	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	bind(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet(), began: time.Now()}
 	h.upstreams.Store(&route.Upstreams{})
+	h.bounds.Store(&s.Bounds)
 	if err := h.build(ctx); err != nil {
 		h.close()
 		return nil, nil, err
@@ -91,6 +97,14 @@
 	return h, h.close, nil
 }
 
+// bind keeps the process to the machine's cores and memory.
+func bind(s setting.Edge) {
+	if runtime.GOMAXPROCS(0) != s.Cores {
+		runtime.GOMAXPROCS(s.Cores)
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+}
+
 func (h *Host) build(ctx context.Context) error {
 	s := h.settings
 	h.core = dispatch.NewCore(s.ID, s.Domain, s.Bounds.CacheLife)
@@ -205,11 +219,14 @@
 }
 
 // TableRead implements platform.Receiver.
-func (h *Host) TableRead(t *route.Table) {
+func (h *Host) TableRead(t *route.Table, age time.Duration) {
 	before, _ := h.Versions()
 	h.table.Store(t)
+	if before > 0 {
+		h.metrics.GetOrCreateHistogram(tableDelayMetric).Update(age.Seconds())
+	}
 	go h.node.Tell()
-	h.log.Info("table in force", "version", uint64(t.Version), "before", uint64(before), "routes", t.Routes())
+	h.log.Info("table in force", "version", uint64(t.Version), "before", uint64(before), "routes", t.Routes(), "age", age)
 }
 
 // UpstreamsRead implements platform.Receiver.
@@ -262,10 +279,19 @@
 // Learn implements gossip.Lists.
 func (h *Host) Learn(raw []byte) error { return h.reader.Learn(raw) }
 
-// Reload takes up changed settings. Addresses stay as they were at the start.
+// Reload takes up changed settings. The host's names and its own addresses stay
+// as they were at the start.
 func (h *Host) Reload(s setting.Edge) {
+	bind(s)
+	h.bounds.Store(&s.Bounds)
+	h.budget.SetBounds(s.Bounds)
+	h.reader.SetAddress(s.Platform)
 	h.node.Seed(s.Seeds)
-	h.log.Info("settings read again", "seeds", len(s.Seeds))
+	if s.Callers != h.settings.Callers || s.Readiness != h.settings.Readiness || s.Peers != h.settings.Peers || s.ID != h.settings.ID {
+		h.log.Warn("changed names and addresses of the host wait for its next start")
+	}
+	h.log.Info("settings read again", "seeds", len(s.Seeds), "platform", s.Platform.String(), "cores", s.Cores,
+		"memory-bytes", s.MemoryBytes, "stop-time", s.Bounds.StopTime, "retry-ratio", s.Bounds.RetryRatio)
 }
 
 // Stop is a planned stop: the balancer is told, requests are taken until it has
@@ -277,7 +303,7 @@
 	}
 	began := time.Now()
 	h.log.Info("planned stop began", "running", h.gateway.Running())
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.settings.Bounds.StopTime-stopMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(h.bounds.Load().StopTime-stopMargin))
 	defer cancel()
 	h.gateway.Leave()
 	clock.Pause(ctx, noticeTime)
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -38,6 +38,17 @@
 	return &Budget{bounds: bounds, hosts: hosts, services: map[plan.ServiceID]*window{}}
 }
 
+// SetBounds takes up other bounds. What was counted under another window is
+// forgotten, and repeats start from nothing.
+func (b *Budget) SetBounds(bounds setting.EdgeBounds) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if bounds.RetryWindow != b.bounds.RetryWindow {
+		b.services = map[plan.ServiceID]*window{}
+	}
+	b.bounds = bounds
+}
+
 // Fresh counts a request that is sent for the first time.
 func (b *Budget) Fresh(now time.Time, s plan.ServiceID) {
 	b.mu.Lock()
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -44,3 +44,15 @@
 		t.Errorf("%d repeats in the next window, %d in the first", later, first)
 	}
 }
+
+// Bounds that the operators change hold at once.
+func TestChangedBoundsHoldAtOnce(t *testing.T) {
+	b := NewBudget(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 100}, func() int { return 1 })
+	if spend(b, budgetStart) == 0 {
+		t.Fatal("nothing may be spent at first")
+	}
+	b.SetBounds(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 0})
+	if n := spend(b, budgetStart.Add(20*time.Second)); n != 0 {
+		t.Errorf("%d repeats after the operators forbade them", n)
+	}
+}
