--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -75,39 +75,70 @@
 	return out
 }
 
-// A planned stop tells the balancer at once and cuts off no stream in progress.
-func TestPlannedStopEndsWhatRuns(t *testing.T) {
-	more := make(chan struct{})
+// fixture is one host before one upstream.
+type fixture struct {
+	host    *Host
+	callers string
+	ready   string
+}
+
+func newFixture(t *testing.T, upstream string) *fixture {
+	t.Helper()
 	ip := netip.MustParseAddr("127.0.0.4")
 	ports := freePorts(t, 4)
 	h, cleanup, err := Start(setting.Edge{
 		ID: "h", Domain: "a", IP: ip, Callers: netip.AddrPortFrom(ip, ports[0]), Readiness: netip.AddrPortFrom(ip, ports[1]),
-		Peers: netip.AddrPortFrom(ip, ports[2]), GossipPort: ports[3], Platform: newStore(t, newUpstream(t, more)), Cores: 2, MemoryBytes: 1 << 30,
+		Peers: netip.AddrPortFrom(ip, ports[2]), GossipPort: ports[3], Platform: newStore(t, upstream), Cores: 2, MemoryBytes: 1 << 30,
 		Bounds: setting.EdgeBounds{StopTime: 20 * time.Second, ApplyTime: 2 * time.Second, RetryWindow: time.Second, CacheLife: time.Second},
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(cleanup)
-	ready := fmt.Sprintf("http://%s:%d%s", ip, ports[1], readyPath)
-	for ask(t, ready) != http.StatusOK {
+	f := &fixture{host: h, callers: fmt.Sprintf("http://%s:%d", ip, ports[0]), ready: fmt.Sprintf("http://%s:%d%s", ip, ports[1], readyPath)}
+	for ask(t, f.ready) != http.StatusOK {
 		time.Sleep(time.Millisecond)
 	}
-	r, _ := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d/x", ip, ports[0]), nil)
+	return f
+}
+
+// request sends one request over a connection of its own.
+func (f *fixture) request(t *testing.T) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodGet, f.callers+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
 	r.Header.Set("Request-Id", "a")
-	response, err := http.DefaultClient.Do(r)
+	response, err := (&http.Transport{}).RoundTrip(r)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer response.Body.Close()
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
+
+// stop begins a planned stop and waits until the balancer could see it. The
+// returned channel is closed at its end.
+func (f *fixture) stop(t *testing.T) <-chan struct{} {
+	t.Helper()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		h.Stop()
+		f.host.Stop()
 	}()
-	for ask(t, ready) == http.StatusOK {
+	for ask(t, f.ready) == http.StatusOK {
 		time.Sleep(time.Millisecond)
 	}
+	return stopped
+}
+
+// A planned stop tells the balancer at once and cuts off no stream in progress.
+func TestPlannedStopEndsWhatRuns(t *testing.T) {
+	more := make(chan struct{})
+	f := newFixture(t, newUpstream(t, more))
+	response := f.request(t)
+	stopped := f.stop(t)
 	close(more)
 	body, err := io.ReadAll(response.Body)
 	if want := "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"; err != nil || string(body) != want {
@@ -116,6 +147,24 @@
 	<-stopped
 }
 
+// Until the balancer has noticed the stop it sends callers, who are served and
+// told to come back over another connection.
+func TestStoppingHostServesUntilTheBalancerHasNoticed(t *testing.T) {
+	more := make(chan struct{})
+	close(more)
+	f := newFixture(t, newUpstream(t, more))
+	stopped := f.stop(t)
+	response := f.request(t)
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK || len(body) == 0 {
+		t.Errorf("status %d, %d bytes, error %v", response.StatusCode, len(body), err)
+	}
+	if !response.Close {
+		t.Error("the caller may keep a connection to a host that stops")
+	}
+	<-stopped
+}
+
 func ask(t *testing.T, url string) int {
 	t.Helper()
 	response, err := http.Get(url)
