Let failures of an upstream fade with time

Two engines that had failed requests from 11 to 15 s got none until the end: their failure rate fell only with good answers, which they could not give any more, so letters and long prompts shared the others. Change: the rate fades with a time of 3 s and counts as none below 0.02. The floor of the rates and the pace are reckoned once a decision, not once a target. TestUpstreamThatFailedIsTriedAgain fails without it.

--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"mulberrydyke/call"
 	"mulberrydyke/plan"
@@ -54,3 +55,44 @@
 		t.Errorf("taken: %v", taken)
 	}
 }
+
+// Pattern: the upstream that takes the calls of a quiet service fails them for some
+// seconds, then recovers. They go elsewhere meanwhile, and come back afterwards:
+// nothing but time can show that an avoided upstream is sound again.
+func TestUpstreamThatFailedIsTriedAgain(t *testing.T) {
+	c := newTestCore("h", 2)
+	call := func(now time.Time) *Lease {
+		l, err := c.Take(now, query(&call.Prompt{}), plainService)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	first := call(start)
+	home := first.Upstream.ID
+	c.End(start, first, Done)
+	run := func(now time.Time, r Result) (atHome int) {
+		for range 20 {
+			l := call(now)
+			result := Done
+			if l.Upstream.ID == home {
+				atHome++
+				result = r
+			}
+			c.End(now, l, result)
+		}
+		return atHome
+	}
+	if n := run(start, Done); n < 15 {
+		t.Fatalf("%d of 20 at home while it is sound", n)
+	}
+	for i := range 40 {
+		run(at(time.Duration(i)*50*time.Millisecond), Failed)
+	}
+	if n := run(at(2*time.Second), Failed); n > 5 {
+		t.Errorf("%d of 20 at home while it fails", n)
+	}
+	if n := run(at(14*time.Second), Done); n < 15 {
+		t.Errorf("%d of 20 at home after it recovered", n)
+	}
+}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -91,30 +91,35 @@
 	return c.cache.missing(now, t.upstream.ID, p)
 }
 
-// cost returns the cost of running a request on a target of a group.
-func (c *Core) cost(now time.Time, g *group, t *target, class Class, missing, rank int, q *Query) float64 {
+// decision is what the costs of all targets for one request have in common.
+type decision struct {
+	now   time.Time
+	class Class
+	query *Query
+	// floor is the failure rate that is normal for the service.
+	floor float64
+	// speed and delay are the pace of the service's engines.
+	speed, delay float64
+}
+
+// cost returns the cost of running a request on a target. Rank is the target's
+// place among the subject's homes, or negative.
+func (c *Core) cost(d *decision, t *target, missing, rank int) float64 {
 	load := t.load()
-	cost := failureCost * max(0, t.failures-g.failureFloor())
+	cost := failureCost * max(0, t.failing(d.now)-d.floor)
 	if t.upstream.Domain != c.domain {
 		cost += otherDomainCost
-		if c.silent(now, t.upstream.Domain) {
+		if c.silent(d.now, t.upstream.Domain) {
 			cost += silentDomainCost
 		}
 	}
-	stall := t.oldestWait(now) - stallAfter
-	if class == Plain {
+	stall := t.oldestWait(d.now) - stallAfter
+	if d.class == Plain {
 		cost += plainCost * float64(load.plain) / float64(max(1, t.upstream.Slots))
 	} else {
-		rate, delay := g.pace()
-		queue := t.queue(rate)
+		queue := t.queue(d.speed)
 		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
-		expected := delay + queue + float64(missing)/rate + slotCost*float64(load.running())
-		cost += expected + late(expected, q.Target) + reread(missing, rank, q.Prompt)
-		if class == Long && rank < 0 {
-			cost += strayCost
-		}
-		cost += overflow(load.running(), t.upstream.Slots)
-		cost += intrusion(t, class, load, missing)
+		cost += engineCost(d, t, &load, queue, missing, rank)
 	}
 	if stall > 0 {
 		cost += stallFactor * float64(stall) / float64(time.Millisecond)
@@ -122,6 +127,17 @@
 	return cost
 }
 
+// engineCost returns the part of the cost that only engines have. Queue is the
+// time in milliseconds until the prompts before it are read.
+func engineCost(d *decision, t *target, load *work, queue float64, missing, rank int) float64 {
+	expected := d.delay + queue + float64(missing)/d.speed + slotCost*float64(load.running())
+	cost := expected + late(expected, d.query.Target) + reread(missing, rank, d.query.Prompt)
+	if d.class == Long && rank < 0 {
+		cost += strayCost
+	}
+	return cost + overflow(load.running(), t.upstream.Slots) + intrusion(t, d.class, *load, missing)
+}
+
 // Costs of prompts that other hosts have sent. Their numbers are some hundred
 // milliseconds old, longer than a prompt takes to be read, so the expected wait
 // is that of a queue with their rate of arrival.
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -261,9 +261,11 @@
 // it also considers those that failed lately.
 func (c *Core) best(now time.Time, g *group, class Class, q *Query, s *route.Service, desperate bool) choice {
 	found := choice{cost: math.Inf(1)}
+	d := decision{now: now, class: class, query: q, floor: g.failureFloor(now)}
 	var homes []int
 	if class != Plain {
 		homes = g.homes(q.Prompt.Subject(), class)
+		d.speed, d.delay = g.pace()
 	}
 	for i, t := range g.targets {
 		if t.upstream.State != route.Ready || t.misdirected || avoided(q.Avoid, t.upstream.ID) {
@@ -278,7 +280,7 @@
 		if class != Plain {
 			missing = c.missing(now, t, rank, q.Prompt)
 		}
-		cost := c.cost(now, g, t, class, missing, rank, q)
+		cost := c.cost(&d, t, missing, rank)
 		cost += shunnedCost * max(0, shunned.Seconds())
 		if cost < found.cost {
 			found.target, found.cost, found.missing = t, cost, missing
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -225,10 +225,10 @@
 
 // failureFloor returns the lowest failure rate of the group, which is normal for
 // the service.
-func (g *group) failureFloor() float64 {
+func (g *group) failureFloor(now time.Time) float64 {
 	floor := 1.0
 	for _, t := range g.targets {
-		floor = min(floor, t.failures)
+		floor = min(floor, t.failing(now))
 	}
 	return floor
 }
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -19,6 +19,11 @@
 	arriveSpan = 1500 * time.Millisecond
 	// failureWeight is the weight of one answer in the failure rate.
 	failureWeight = 0.08
+	// failureLife is how long failures count: an upstream that is avoided for them
+	// could not show otherwise that it has recovered.
+	failureLife = 3 * time.Second
+	// failureLeast is the failure rate below which an upstream counts as sound.
+	failureLeast = 0.02
 )
 
 // work counts what runs on one upstream.
@@ -52,7 +57,7 @@
 	// own is what this host runs there, near what the other hosts of its domain
 	// and far what the other domains last reported.
 	own, near, far work
-	// decayed is when own.arriving was last brought up to date.
+	// decayed is when own.arriving and failures were last brought up to date.
 	decayed time.Time
 	// waiting holds this host's leases without a first event.
 	waiting map[*Lease]struct{}
@@ -64,7 +69,7 @@
 	// misses counts failures to reach the upstream in a row, broken the
 	// connections that broke in a row.
 	misses, broken int
-	// failures is the share of answers that were failures, lately.
+	// failures is the share of answers that were failures, as of decayed.
 	failures float64
 }
 
@@ -87,12 +92,26 @@
 	return s.Connections > 0 && load.running() >= s.Connections
 }
 
-// decay brings own.arriving up to date.
+// decay brings own.arriving and failures up to date.
 func (t *target) decay(now time.Time) {
-	t.own.arriving *= math.Exp(-now.Sub(t.decayed).Seconds() / arriveSpan.Seconds())
+	age := max(0, now.Sub(t.decayed).Seconds())
+	t.own.arriving *= math.Exp(-age / arriveSpan.Seconds())
+	t.failures = t.failing(now)
 	t.decayed = now
 }
 
+// failing returns the failure rate as it counts now.
+func (t *target) failing(now time.Time) float64 {
+	if t.failures < failureLeast {
+		return 0
+	}
+	rate := t.failures * math.Exp(-max(0, now.Sub(t.decayed).Seconds())/failureLife.Seconds())
+	if rate < failureLeast {
+		return 0
+	}
+	return rate
+}
+
 func (t *target) take(l *Lease) {
 	t.decay(l.Taken)
 	t.own.arriving += float64(l.Missing) / arriveSpan.Seconds()
@@ -124,6 +143,7 @@
 
 func (t *target) give(now time.Time, l *Lease, r Result) {
 	l.start()
+	t.decay(now)
 	t.own.count(l.Class, -1)
 	switch r {
 	case Done:
