Track reading speed and delay apart, faster at first, from a low speed

In the burst drafts were let in that came late. Change: each estimate has its own weight, the first steps are larger, and the assumed speed is 50, since a low one is soon raised. Messages: protocol 3.

--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -4,8 +4,8 @@
 
 const (
 	// speedFirst is the assumed speed of reading prompts, in tokens a
-	// millisecond, until it has been measured.
-	speedFirst = 75.0
+	// millisecond, until it has been measured. A low one is soon raised.
+	speedFirst = 50.0
 	// speedLeast and speedMost bound what is believed of a measurement.
 	speedLeast = 20.0
 	speedMost  = 1000.0
@@ -17,66 +17,80 @@
 	// prompts on the engine only make a measurement slower.
 	speedQuantile = 0.9
 	delayQuantile = 0.1
-	// quantileStep is the relative size of a step towards a quantile.
+	// quantileStep is the relative size of a step towards a quantile. The first
+	// steps are larger: up to firstSteps of them are taken at once.
 	quantileStep = 0.1
+	firstSteps   = 8.0
 	// paceDecay is the weight that is left to earlier measurements.
 	paceDecay = 0.98
 )
 
+// Estimate is a tracked quantile of a measurement.
+type Estimate struct {
+	_     struct{} `cbor:",toarray"`
+	Value float64
+	// Weight is the decayed number of measurements. Zero means none.
+	Weight float64
+}
+
 // Pace is how fast engines read prompts when nothing else holds them up.
 type Pace struct {
 	_ struct{} `cbor:",toarray"`
 	// Speed is the tokens read in a millisecond.
-	Speed float64
+	Speed Estimate
 	// Delay is the time in milliseconds to the first event that does not depend
 	// on the prompt.
-	Delay float64
-	// Weight is the decayed number of measurements. Zero means none.
-	Weight float64
+	Delay Estimate
 }
 
 // measured takes up the time to the first event of a prompt. Of a long prompt,
 // only its own part may have been missing from the engine's cache.
 func (p *Pace) measured(missing, own int, first time.Duration) {
-	if p.Weight == 0 {
-		p.Speed, p.Delay = speedFirst, float64(first)/float64(time.Millisecond)
-	}
-	p.Weight = p.Weight*paceDecay + 1
 	span := float64(first) / float64(time.Millisecond)
+	speed, delay := p.known()
 	switch {
 	case missing <= delayTokens:
-		p.Delay = track(p.Delay, max(1, span-float64(missing)/p.Speed), delayQuantile)
+		p.Delay.track(max(1, span-float64(missing)/speed), span, delayQuantile)
 	case missing >= speedTokens && missing <= own:
-		sample := float64(missing) / max(1, span-p.Delay)
-		p.Speed = min(speedMost, max(speedLeast, track(p.Speed, sample, speedQuantile)))
+		p.Speed.track(float64(missing)/max(1, span-delay), speedFirst, speedQuantile)
+		p.Speed.Value = min(speedMost, max(speedLeast, p.Speed.Value))
 	}
 }
 
-// track moves an estimate of a quantile by one sample.
-func track(estimate, sample, quantile float64) float64 {
-	if sample > estimate {
-		return estimate + min(sample-estimate, quantileStep*quantile*estimate)
+// track moves the estimate by one sample. The first one starts from a given
+// value.
+func (e *Estimate) track(sample, first, quantile float64) {
+	if e.Weight == 0 {
+		e.Value = first
 	}
-	return estimate - min(estimate-sample, quantileStep*(1-quantile)*estimate)
+	e.Weight = e.Weight*paceDecay + 1
+	step := quantileStep * max(1, firstSteps/e.Weight) * e.Value
+	if sample > e.Value {
+		e.Value += min(sample-e.Value, step*quantile)
+		return
+	}
+	e.Value -= min(e.Value-sample, step*(1-quantile))
 }
 
-// mix returns the mean of two paces by their weights.
-func (p Pace) mix(o Pace) Pace {
-	total := p.Weight + o.Weight
+// mix returns the mean of two estimates by their weights.
+func (e Estimate) mix(o Estimate) Estimate {
+	total := e.Weight + o.Weight
 	if total == 0 {
-		return p
-	}
-	return Pace{
-		Speed:  (p.Speed*p.Weight + o.Speed*o.Weight) / total,
-		Delay:  (p.Delay*p.Weight + o.Delay*o.Weight) / total,
-		Weight: total,
+		return e
 	}
+	return Estimate{Value: (e.Value*e.Weight + o.Value*o.Weight) / total, Weight: total}
+}
+
+// mix returns the mean of two paces.
+func (p Pace) mix(o Pace) Pace {
+	return Pace{Speed: p.Speed.mix(o.Speed), Delay: p.Delay.mix(o.Delay)}
 }
 
 // known returns the pace, or an assumed one where nothing was measured.
 func (p Pace) known() (speed, delay float64) {
-	if p.Weight == 0 {
-		return speedFirst, 0
+	speed = speedFirst
+	if p.Speed.Weight > 0 {
+		speed = p.Speed.Value
 	}
-	return p.Speed, p.Delay
+	return speed, p.Delay.Value
 }
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -194,7 +194,7 @@
 	m.Table, m.Revision, m.Reading, m.Peers = 3, 9, true, []netip.Addr{addr(2)}
 	m.Report = dispatch.Report{
 		Loads: []dispatch.Load{{Upstream: 5, Short: 1, Pending: 30, Arriving: 40}},
-		Rates: []dispatch.Rate{{Service: "pool", Shorts: 3, Pace: dispatch.Pace{Speed: 70, Delay: 20, Weight: 4}}},
+		Rates: []dispatch.Rate{{Service: "pool", Shorts: 3, Pace: dispatch.Pace{Speed: dispatch.Estimate{Value: 70, Weight: 4}}}},
 	}
 	m.Domains = []DomainReport{{Domain: "b", Hosts: 4, Age: time.Second}}
 	m.Suspects = []pool.Suspect{{Content: 8, Crashes: []pool.Crash{{Upstream: "u1", Instance: "i"}}, Left: time.Second}}
@@ -206,7 +206,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ignore := cmpopts.IgnoreUnexported(dispatch.Report{}, dispatch.Load{}, dispatch.Rate{}, dispatch.Pace{}, DomainReport{})
+	ignore := cmpopts.IgnoreUnexported(dispatch.Report{}, dispatch.Load{}, dispatch.Rate{}, dispatch.Pace{}, dispatch.Estimate{}, DomainReport{})
 	if diff := cmp.Diff(m, got, ignore, cmpopts.EquateComparable(netip.Addr{})); diff != "" {
 		t.Error(diff)
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,7 +15,7 @@
 )
 
 // protocolVersion is raised with each change that older hosts can't read.
-const protocolVersion = 2
+const protocolVersion = 3
 
 const (
 	// messageMost bounds a datagram.
