Believe observed waits, and what other hosts find down

In the burst at 4 to 8 s hosts reckoned that an engine had prompts for 65 to 240 ms while first events took 700 to 1,100: parts that are not in the caches yet were taken for read, so drafts were let in that all came late. Change: the wait that prompts of this host lately had at an engine counts beside the reckoned one. Reports name the upstreams that a host leaves alone after failures; two hosts of a domain (one of two) are believed, and the division goes without it.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -20,13 +20,13 @@
 // admit says whether an engine should take one more long prompt. The size of the
 // prompt itself doesn't count, so that large ones are refused no sooner. It fails
 // with an OverloadError.
-func admit(g *group, t *target, q *Query) error {
+func admit(now time.Time, g *group, t *target, q *Query) error {
 	load := t.load()
 	if q.Target <= 0 || float64(load.running()) < busyPart*float64(t.upstream.Slots) {
 		return nil
 	}
 	speed, delay := g.pace()
-	wait := time.Duration((t.queue(speed) + delay) * float64(time.Millisecond))
+	wait := time.Duration((t.queue(now, speed) + delay) * float64(time.Millisecond))
 	bound := admitPart
 	if q.Urgency < ranksMost {
 		bound = admitUrgent
--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,50 @@
 		t.Errorf("%d engines for short prompts that nobody sends", n)
 	}
 }
+
+// Pattern: an engine crashes in a burst and stays listed for seconds. Hosts that
+// have not met it themselves learn of it, and divide the engines without it.
+func TestEngineThatOtherHostsFindDownIsLeftAlone(t *testing.T) {
+	c := newTestCore("h", 2)
+	down := Report{Down: []UpstreamKey{KeyOf("a0")}}
+	c.Heard(start, "g", down)
+	c.Heard(start, "i", Report{})
+	if c.down(start, c.targets["a0"]) {
+		t.Error("one host of three is believed")
+	}
+	c.Heard(start, "i", down)
+	for i := range 100 {
+		l := take(t, c, start, longOn(fmt.Sprint(i)))
+		if l.Upstream.ID == "a0" {
+			t.Fatal("the engine that is down was taken")
+		}
+		c.End(start, l, Done)
+	}
+	if c.targets["a0"].usable {
+		t.Error("the engine that is down takes part in the division")
+	}
+}
+
+// Pattern: another host of the domain is cut off from nearly all upstreams. What it
+// says of them does not keep this host from using them.
+func TestCutHostDoesNotStopTheOthers(t *testing.T) {
+	c := newTestCore("h", 2)
+	var all Report
+	for id := range c.targets {
+		if id != "a0" {
+			all.Down = append(all.Down, KeyOf(id))
+		}
+	}
+	c.Heard(start, "cut", all)
+	taken := map[plan.UpstreamID]int{}
+	for range 60 {
+		l, err := c.Take(start, query(&call.Prompt{}), plainService)
+		if err != nil {
+			t.Fatal(err)
+		}
+		taken[l.Upstream.ID]++
+	}
+	if taken["a0"] > 30 {
+		t.Errorf("taken: %v", taken)
+	}
+}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -117,7 +117,7 @@
 	if d.class == Plain {
 		cost += plainCost * float64(load.plain) / float64(max(1, t.upstream.Slots))
 	} else {
-		queue := t.queue(d.speed)
+		queue := t.queue(d.now, d.speed)
 		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
 		cost += engineCost(d, t, &load, queue, missing, rank)
 	}
@@ -149,10 +149,11 @@
 )
 
 // queue returns the expected time in milliseconds until an engine has read the
-// prompts that it has, at a speed in tokens a millisecond.
-func (t *target) queue(speed float64) float64 {
+// prompts that it has, at a speed in tokens a millisecond: what the prompts
+// explain that are known, or what was observed where that is more.
+func (t *target) queue(now time.Time, speed float64) float64 {
 	others := min(usedMost, (t.near.arriving+t.far.arriving)/(speed*1000))
-	return float64(t.own.pending)/speed + meanRead*others/(1-others)
+	return max(float64(t.own.pending)/speed+meanRead*others/(1-others), t.waited(now))
 }
 
 // overflowCost is for each request beyond the slots: it waits for a whole other
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -224,7 +224,7 @@
 	if class != Plain {
 		c.divide(now, g, s.Engine)
 	}
-	best := c.best(now, g, class, &q, s, g.tooManyShunned(now))
+	best := c.best(now, g, class, &q, s, c.tooManyDown(now, g))
 	if best.target == nil {
 		best = c.best(now, g, class, &q, s, true)
 	}
@@ -233,7 +233,7 @@
 	}
 	speed, _ := g.pace()
 	if class == Long {
-		if err := admit(g, best.target, &q); err != nil {
+		if err := admit(now, g, best.target, &q); err != nil {
 			return nil, err
 		}
 	}
@@ -272,7 +272,7 @@
 			continue
 		}
 		shunned := t.shunnedUntil.Sub(now)
-		if shunned > 0 && !desperate || t.full(s) {
+		if (shunned > 0 || c.down(now, t)) && !desperate || t.full(s) {
 			continue
 		}
 		found.candidates++
@@ -303,7 +303,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if g := c.services[l.Upstream.Service]; g != nil && !l.started && l.Class != Plain {
-		g.own.measured(l.Missing, l.prompt.Own(), now.Sub(l.Taken))
+		first := now.Sub(l.Taken)
+		g.own.measured(l.Missing, l.prompt.Own(), first)
+		if l.Class == Long {
+			speed, delay := g.pace()
+			l.target.observe(now, float64(first)/float64(time.Millisecond)-delay-float64(l.Missing)/speed)
+		}
 	}
 	l.start()
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -130,11 +130,11 @@
 	g.assign()
 }
 
-// usable says whether an engine takes part in the division: it takes work, and
-// its domain is heard. What only this host knows of it doesn't count, so that all
-// hosts divide alike.
+// usable says whether an engine takes part in the division: it takes work, its
+// domain is heard, and the hosts of this domain don't find it down. What only this
+// host knows of it doesn't count, so that all hosts divide alike.
 func (c *Core) usable(now time.Time, t *target) bool {
-	if t.upstream.State != route.Ready {
+	if t.upstream.State != route.Ready || c.down(now, t) {
 		return false
 	}
 	return t.upstream.Domain == c.domain || !c.silent(now, t.upstream.Domain)
@@ -217,19 +217,20 @@
 // and the few that are left would take all the load.
 const shunnedMost = 0.5
 
-// tooManyShunned says whether more upstreams are left alone than shunnedMost.
-func (g *group) tooManyShunned(now time.Time) bool {
-	ready, shunned := 0, 0
+// tooManyDown says whether more of a group's upstreams are left alone than
+// shunnedMost.
+func (c *Core) tooManyDown(now time.Time, g *group) bool {
+	ready, down := 0, 0
 	for _, t := range g.targets {
 		if t.upstream.State != route.Ready {
 			continue
 		}
 		ready++
-		if now.Before(t.shunnedUntil) {
-			shunned++
+		if now.Before(t.shunnedUntil) || c.down(now, t) {
+			down++
 		}
 	}
-	return float64(shunned) > shunnedMost*float64(ready)
+	return float64(down) > shunnedMost*float64(ready)
 }
 
 // failureFloor returns the lowest failure rate of the group, which is normal for
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -51,6 +51,9 @@
 	_     struct{} `cbor:",toarray"`
 	Loads []Load
 	Rates []Rate
+	// Down lists the upstreams that the sender leaves alone after failures to
+	// reach them.
+	Down []UpstreamKey
 }
 
 // peerState is the newest report of one host of the own domain.
@@ -77,6 +80,9 @@
 	for _, t := range c.targets {
 		t.decay(now)
 		r.add(t.key, t.own)
+		if now.Before(t.shunnedUntil) {
+			r.Down = append(r.Down, t.key)
+		}
 	}
 	for id, g := range c.services {
 		if g.wanted > 0 {
@@ -147,6 +153,20 @@
 	return known && now.Sub(s.At) > silentAfter
 }
 
+// downVotesMost is the number of hosts of a domain that have to find an upstream
+// down for the others to believe it. In a domain of two one is enough.
+const downVotesMost = 2
+
+// down says whether hosts of the own domain, this one included, find an upstream
+// down.
+func (c *Core) down(now time.Time, t *target) bool {
+	votes := t.downVotes
+	if now.Before(t.shunnedUntil) {
+		votes++
+	}
+	return votes >= min(downVotesMost, (len(c.peers)+2)/2)
+}
+
 // Heard takes up the report of a host of the own domain.
 func (c *Core) Heard(now time.Time, peer plan.HostID, r Report) {
 	c.mu.Lock()
@@ -170,7 +190,7 @@
 func (c *Core) sumUp(now time.Time) {
 	byKey := make(map[UpstreamKey]*target, len(c.targets))
 	for _, t := range c.targets {
-		t.near, t.far = work{}, work{}
+		t.near, t.far, t.downVotes = work{}, work{}, 0
 		byKey[t.key] = t
 	}
 	for _, g := range c.services {
@@ -194,6 +214,11 @@
 }
 
 func (c *Core) sumNear(peer plan.HostID, r *Report, byKey map[UpstreamKey]*target) {
+	for _, key := range r.Down {
+		if t := byKey[key]; t != nil {
+			t.downVotes++
+		}
+	}
 	for _, l := range r.Loads {
 		if t := byKey[l.Upstream]; t != nil {
 			t.near.add(l.work())
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -57,6 +57,9 @@
 	// own is what this host runs there, near what the other hosts of its domain
 	// and far what the other domains last reported.
 	own, near, far work
+	// downVotes is the number of other hosts of the domain that leave the upstream
+	// alone after failures to reach it.
+	downVotes int
 	// decayed is when own.arriving and failures were last brought up to date.
 	decayed time.Time
 	// waiting holds this host's leases without a first event.
@@ -69,6 +72,10 @@
 	// misses counts failures to reach the upstream in a row, broken the
 	// connections that broke in a row.
 	misses, broken int
+	// observed is the time in milliseconds that prompts lately waited before they
+	// were read, as of observedAt.
+	observed   float64
+	observedAt time.Time
 	// failures is the share of answers that were failures, as of decayed.
 	failures float64
 }
@@ -100,6 +107,29 @@
 	t.decayed = now
 }
 
+const (
+	// observedWeight is the weight of one wait in the observed one.
+	observedWeight = 0.3
+	// observedLife is how long an observed wait counts: an engine reads what it
+	// has in about that time.
+	observedLife = 700 * time.Millisecond
+)
+
+// observe takes up how long a prompt waited before it was read.
+func (t *target) observe(now time.Time, wait float64) {
+	before := t.waited(now)
+	t.observed = before + observedWeight*(max(0, wait)-before)
+	t.observedAt = now
+}
+
+// waited returns the observed wait as it counts now.
+func (t *target) waited(now time.Time) float64 {
+	if t.observed < 1 {
+		return 0
+	}
+	return t.observed * math.Exp(-max(0, now.Sub(t.observedAt).Seconds())/observedLife.Seconds())
+}
+
 // failing returns the failure rate as it counts now.
 func (t *target) failing(now time.Time) float64 {
 	if t.failures < failureLeast {
