--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -170,3 +170,18 @@
 		t.Errorf("taken: %v", taken)
 	}
 }
+
+// Pattern: callers ask for many letters at once. Before the slots of the engines for
+// short prompts are full, they get another engine: the more requests run, the slower
+// each token comes, and what overflows goes among long prompts.
+func TestShortPromptsGetAnotherEngineBeforeSlotsAreFull(t *testing.T) {
+	c := newTestCore("h", 3)
+	first := take(t, c, start, short()).Shorts
+	slots := engines.Engine.Slots
+	for range first * slots * 3 / 4 {
+		take(t, c, at(time.Millisecond), short())
+	}
+	if n := take(t, c, at(divideEvery+time.Millisecond), short()).Shorts; n <= first {
+		t.Errorf("%d engines for short prompts that fill three quarters of %d", n, first)
+	}
+}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -13,7 +13,7 @@
 	// divideEvery is how often the engines are divided anew.
 	divideEvery = 500 * time.Millisecond
 	// slotShare is the part of an engine's slots that short prompts should take.
-	slotShare = 0.85
+	slotShare = 0.65
 	// shortsLeast and shortsMost bound the part of the engines for short prompts.
 	shortsLeast = 0.2
 	shortsMost  = 0.55
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -5,7 +5,7 @@
 const (
 	// speedFirst is the assumed speed of reading prompts, in tokens a
 	// millisecond, until it has been measured. A low one is soon raised.
-	speedFirst = 50.0
+	speedFirst = 60.0
 	// speedLeast and speedMost bound what is believed of a measurement.
 	speedLeast = 20.0
 	speedMost  = 1000.0
