Sum reports up one by one

Change: a report replaces what its host said before in the sums. All is added up anew four times a second, and when the list changes. TestSumsFollowEachReport holds the sums against those of all reports.

--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"mulberrydyke/call"
 	"mulberrydyke/plan"
 	"mulberrydyke/route"
@@ -185,3 +187,35 @@
 		t.Errorf("%d engines for short prompts that fill three quarters of %d", n, first)
 	}
 }
+
+// The sums that reports change one by one are those of all reports added up.
+func TestSumsFollowEachReport(t *testing.T) {
+	c := newTestCore("h", 2)
+	report := func(n int) Report {
+		return Report{
+			Loads: []Load{{Upstream: KeyOf("a0"), Short: n, Pending: 10 * n}, {Upstream: KeyOf("b1"), Long: 2 * n}},
+			Down:  []UpstreamKey{KeyOf("c0")},
+		}
+	}
+	for i := range 12 {
+		now := at(time.Duration(i) * 200 * time.Millisecond)
+		c.Heard(now, plan.HostID(fmt.Sprint("near", i%3)), report(i))
+		c.HeardDomain(now, now, plan.DomainID(fmt.Sprint("b", i%2)), 3, report(2*i))
+		type sums struct {
+			Near, Far work
+			Votes     int
+		}
+		list := func() map[plan.UpstreamID]sums {
+			out := map[plan.UpstreamID]sums{}
+			for id, x := range c.targets {
+				out[id] = sums{x.near, x.far, x.downVotes}
+			}
+			return out
+		}
+		one := list()
+		c.sumUp(now)
+		if diff := cmp.Diff(list(), one, cmp.AllowUnexported(work{})); diff != "" {
+			t.Fatalf("after report %d: %s", i, diff)
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -152,6 +152,8 @@
 	domain plan.DomainID
 	// targets holds every listed upstream.
 	targets map[plan.UpstreamID]*target
+	// byKey holds the same targets by the keys of reports.
+	byKey map[UpstreamKey]*target
 	// services groups the targets; each group is sorted by spread.
 	services map[plan.ServiceID]*group
 	peers    map[plan.HostID]*peerState
@@ -202,6 +204,10 @@
 		}
 		g.targets = append(g.targets, t)
 	}
+	c.byKey = make(map[UpstreamKey]*target, len(c.targets))
+	for _, t := range c.targets {
+		c.byKey[t.key] = t
+	}
 	for id, g := range c.services {
 		if old := before[id]; old != nil {
 			g.inherit(old)
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -69,6 +69,8 @@
 	Report Report
 	// At is when the report was made.
 	At time.Time
+	// counted says that the loads are part of the sums.
+	counted bool
 }
 
 // Report returns what this host runs.
@@ -171,75 +173,96 @@
 func (c *Core) Heard(now time.Time, peer plan.HostID, r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if old := c.peers[peer]; old != nil {
+		c.countNear(&old.report, -1)
+	}
 	c.peers[peer] = &peerState{report: r, at: now}
-	c.sumUp(now)
+	c.countNear(&r, 1)
+	c.sumRates(now)
 }
 
 // HeardDomain takes up the report of another domain, which was made at a time.
 func (c *Core) HeardDomain(at, now time.Time, d plan.DomainID, hosts int, r Report) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if old := c.domains[d]; old != nil && !at.After(old.At) {
+	old := c.domains[d]
+	if old != nil && !at.After(old.At) {
 		return
 	}
-	c.domains[d] = &DomainState{Domain: d, Hosts: hosts, Report: r, At: at}
-	c.sumUp(now)
+	if old != nil && old.counted {
+		c.countFar(&old.Report, -1)
+	}
+	c.domains[d] = &DomainState{Domain: d, Hosts: hosts, Report: r, At: at, counted: true}
+	c.countFar(&r, 1)
+	c.sumRates(now)
 }
 
 // sumUp adds all reports up anew. Old ones don't count.
 func (c *Core) sumUp(now time.Time) {
-	byKey := make(map[UpstreamKey]*target, len(c.targets))
 	for _, t := range c.targets {
 		t.near, t.far, t.downVotes = work{}, work{}, 0
-		byKey[t.key] = t
-	}
-	for _, g := range c.services {
-		g.forgetOthers(c.self)
 	}
 	for id, p := range c.peers {
 		if now.Sub(p.at) > reportLife {
 			delete(c.peers, id)
 			continue
 		}
-		c.sumNear(id, &p.report, byKey)
+		c.countNear(&p.report, 1)
 	}
 	for id, d := range c.domains {
-		switch age := now.Sub(d.At); {
+		age := now.Sub(d.At)
+		d.counted = age <= reportLife
+		switch {
 		case age > domainLife:
 			delete(c.domains, id)
-		case age <= reportLife:
-			c.sumFar(&d.Report, byKey)
+		case d.counted:
+			c.countFar(&d.Report, 1)
 		}
 	}
+	c.sumRates(now)
 }
 
-func (c *Core) sumNear(peer plan.HostID, r *Report, byKey map[UpstreamKey]*target) {
-	for _, key := range r.Down {
-		if t := byKey[key]; t != nil {
-			t.downVotes++
-		}
-	}
+// countNear adds the loads of a host of the own domain to the sums, or takes them
+// out where sign is -1.
+func (c *Core) countNear(r *Report, sign int) {
 	for _, l := range r.Loads {
-		if t := byKey[l.Upstream]; t != nil {
-			t.near.add(l.work())
+		if t := c.byKey[l.Upstream]; t != nil {
+			t.near.add(l.work().times(sign))
 		}
 	}
-	for _, rate := range r.Rates {
-		if g := c.services[rate.Service]; g != nil {
-			g.heardNear(peer, &rate)
+	for _, key := range r.Down {
+		if t := c.byKey[key]; t != nil {
+			t.downVotes += sign
 		}
 	}
 }
 
-func (c *Core) sumFar(r *Report, byKey map[UpstreamKey]*target) {
+// countFar does the same for the loads of another domain.
+func (c *Core) countFar(r *Report, sign int) {
 	for _, l := range r.Loads {
-		if t := byKey[l.Upstream]; t != nil {
-			t.far.add(l.work())
+		if t := c.byKey[l.Upstream]; t != nil {
+			t.far.add(l.work().times(sign))
+		}
+	}
+}
+
+// sumRates takes up anew what all others say of the services.
+func (c *Core) sumRates(now time.Time) {
+	for _, g := range c.services {
+		g.forgetOthers(c.self)
+	}
+	for id, p := range c.peers {
+		for _, rate := range p.report.Rates {
+			if g := c.services[rate.Service]; g != nil && now.Sub(p.at) <= reportLife {
+				g.heardNear(id, &rate)
+			}
 		}
 	}
-	for _, rate := range r.Rates {
-		if g := c.services[rate.Service]; g != nil {
-			g.heardFar(&rate)
+	for _, d := range c.domains {
+		for _, rate := range d.Report.Rates {
+			if g := c.services[rate.Service]; g != nil && now.Sub(d.At) <= reportLife {
+				g.heardFar(&rate)
+			}
 		}
 	}
 }
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -45,6 +45,11 @@
 	w.pending += o.pending
 }
 
+// times returns the work a number of times.
+func (w work) times(n int) work {
+	return work{short: n * w.short, long: n * w.long, plain: n * w.plain, pending: n * w.pending, arriving: float64(n) * w.arriving}
+}
+
 // running returns the number of requests.
 func (w *work) running() int { return w.short + w.long + w.plain }
 
