Shrink the engines for short prompts at once again; at least two of nine

A need that counts for 4 s keeps twice as many engines for short prompts where the load swings, and moves homes. Change: it is taken back; on nine engines two go to short prompts at least, which answers the same pattern (all hosts start at once).

--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -20,9 +20,6 @@
 	// shrinkRoom is the part of the engines for short prompts that may stand idle
 	// before there are fewer.
 	shrinkRoom = 0.35
-	// needLife is how long a need for engines for short prompts counts after it
-	// has fallen.
-	needLife = 4 * time.Second
 	// shortsAtFirst is the part of the engines for short prompts while no load
 	// is known.
 	shortsAtFirst = 0.4
@@ -38,8 +35,6 @@
 	divided time.Time
 	// wanted is how many this host would have.
 	wanted int
-	// need is how many the short prompts need, or needed lately.
-	need float64
 	// speaker is the host of the domain whose wish counts for it: the first by
 	// name. nearWanted is its wish, farWanted those of the other domains.
 	speaker    plan.HostID
@@ -85,7 +80,7 @@
 // inherit keeps what was measured before the list of upstreams changed. The
 // division is made anew.
 func (g *group) inherit(old *group) {
-	g.wanted, g.need, g.divided, g.own = old.wanted, old.need, old.divided, old.own
+	g.wanted, g.own = old.wanted, old.own
 }
 
 // spread sorts the targets: the first of each domain, the second of each domain,
@@ -111,7 +106,6 @@
 	if now.Sub(g.divided) < divideEvery && g.shorts > 0 {
 		return
 	}
-	age := now.Sub(g.divided)
 	g.divided = now
 	n, shorts := 0, 0
 	for _, t := range g.targets {
@@ -124,7 +118,7 @@
 	if n < 2 {
 		g.shorts = max(1, g.shorts)
 	} else {
-		g.wanted = g.wish(e, n, shorts, age)
+		g.wanted = g.wish(e, n, shorts)
 		g.shorts = min(n-1, median(append(g.farWanted[:len(g.farWanted):len(g.farWanted)], g.domainWanted())))
 	}
 	g.assign()
@@ -154,22 +148,19 @@
 
 // wish returns the number of engines that the short prompts need, which go first:
 // they are the more urgent ones and the smaller part of the work. It grows as
-// soon as they need more, and shrinks only some time after they need far fewer,
-// since a change moves the homes of subjects. Age is the time since the last wish.
-func (g *group) wish(e *route.Engine, n, shorts int, age time.Duration) int {
+// soon as they need more, and shrinks only well below, since a change moves the
+// homes of subjects.
+func (g *group) wish(e *route.Engine, n, shorts int) int {
 	if g.wanted == 0 {
 		g.wanted = max(1, int(shortsAtFirst*float64(n)))
-		g.need, age = float64(g.wanted), 0
 	}
-	g.need *= math.Exp(-age.Seconds() / needLife.Seconds())
-	need := max(g.need, float64(shorts)/(slotShare*float64(max(1, e.Slots))))
-	g.need = need
-	least, most := max(1, int(shortsLeast*float64(n))), max(1, int(shortsMost*float64(n)))
+	need := float64(shorts) / (slotShare * float64(max(1, e.Slots)))
+	least, most := int(math.Ceil(shortsLeast*float64(n))), max(1, int(shortsMost*float64(n)))
 	want := g.wanted
 	if need > float64(want) || need < float64(want)*(1-shrinkRoom)-1 {
 		want = int(math.Ceil(need))
 	}
-	return min(most, max(least, want))
+	return max(1, min(most, max(least, want)))
 }
 
 // pace returns the measured pace of the engines: tokens read in a millisecond,
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -5,7 +5,7 @@
 const (
 	// speedFirst is the assumed speed of reading prompts, in tokens a
 	// millisecond, until it has been measured. A low one is soon raised.
-	speedFirst = 60.0
+	speedFirst = 75.0
 	// speedLeast and speedMost bound what is believed of a measurement.
 	speedLeast = 20.0
 	speedMost  = 1000.0
@@ -20,7 +20,7 @@
 	// quantileStep is the relative size of a step towards a quantile. The first
 	// steps are larger: up to firstSteps of them are taken at once.
 	quantileStep = 0.1
-	firstSteps   = 8.0
+	firstSteps   = 1.0
 	// paceDecay is the weight that is left to earlier measurements.
 	paceDecay = 0.98
 )
