--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -4,7 +4,7 @@
 
 const (
 	// speedFirst is the assumed speed of reading prompts, in tokens a
-	// millisecond, until it has been measured. A low one is soon raised.
+	// millisecond, until it has been measured.
 	speedFirst = 75.0
 	// speedLeast and speedMost bound what is believed of a measurement.
 	speedLeast = 20.0
@@ -17,10 +17,8 @@
 	// prompts on the engine only make a measurement slower.
 	speedQuantile = 0.9
 	delayQuantile = 0.1
-	// quantileStep is the relative size of a step towards a quantile. The first
-	// steps are larger: up to firstSteps of them are taken at once.
+	// quantileStep is the relative size of a step towards a quantile.
 	quantileStep = 0.1
-	firstSteps   = 1.0
 	// paceDecay is the weight that is left to earlier measurements.
 	paceDecay = 0.98
 )
@@ -64,7 +62,7 @@
 		e.Value = first
 	}
 	e.Weight = e.Weight*paceDecay + 1
-	step := quantileStep * max(1, firstSteps/e.Weight) * e.Value
+	step := quantileStep * e.Value
 	if sample > e.Value {
 		e.Value += min(sample-e.Value, step*quantile)
 		return
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -114,25 +114,25 @@
 
 // Reporter says whether this host is one of those that speak for its domain.
 func (m *Members) Reporter(now time.Time) bool {
-	before := 0
-	for _, x := range m.near(now) {
-		if x.host < m.host {
-			before++
-		}
-	}
-	return before < reporters
+	return m.ahead(now, func(*member) bool { return true }) < reporters
 }
 
 // MustRead says whether this host has to hear the platform itself: fewer than
 // enough hosts of its domain that come before it do so.
 func (m *Members) MustRead(now time.Time) bool {
-	before := 0
+	return m.ahead(now, func(x *member) bool { return x.reading }) < reporters
+}
+
+// ahead returns how many live hosts of the domain come before this one by name and
+// meet a condition.
+func (m *Members) ahead(now time.Time, counts func(*member) bool) int {
+	n := 0
 	for _, x := range m.near(now) {
-		if x.host < m.host && x.reading {
-			before++
+		if x.host < m.host && counts(x) {
+			n++
 		}
 	}
-	return before < reporters
+	return n
 }
 
 // Targets returns the hosts that get the next message, those of the own domain
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,7 +15,7 @@
 )
 
 // protocolVersion is raised with each change that older hosts can't read.
-const protocolVersion = 3
+const protocolVersion = 4
 
 const (
 	// messageMost bounds a datagram.
