--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -208,3 +208,33 @@
 		}
 	}
 }
+
+// Pattern: a burst of long prompts at the start of a day, when the caches are empty:
+// engines read far more than the hosts reckon, so first events come late. What was
+// observed at the home of a popular subject sends further prompts to its next home,
+// until the first has caught up.
+func TestObservedWaitsCountWhereReckonedOnesDoNot(t *testing.T) {
+	c := smallEngines()
+	popular := longOn("popular")
+	var running []*Lease
+	for range 3 {
+		running = append(running, take(t, c, start, popular))
+	}
+	home := running[0].Upstream.ID
+	late := at(900 * time.Millisecond)
+	for _, l := range running {
+		c.Started(late, l)
+		c.End(late, l, Done)
+	}
+	next := func(now time.Time) plan.UpstreamID {
+		l := take(t, c, now, popular)
+		c.End(now, l, Abandoned)
+		return l.Upstream.ID
+	}
+	if id := next(late); id == home {
+		t.Error("sent to the engine whose first events come late")
+	}
+	if wait := c.targets[home].waited(late.Add(5 * time.Second)); wait > 1 {
+		t.Errorf("a wait of %.0f ms counts after the engine caught up", wait)
+	}
+}
