--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -70,6 +70,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	s := shapeOf(random)
 	w := newWorld(t, s, octet)
+	started := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
 	var duties, calls sync.WaitGroup
 	duties.Go(func() { w.poll(ctx) })
@@ -80,6 +81,7 @@
 		keepLogs(t, w, seed)
 		t.Fatal("not all hosts became ready")
 	}
+	ready := time.Since(started)
 	callsCtx, endCalls := context.WithCancel(ctx)
 	defer endCalls()
 	for range s.callers {
@@ -101,7 +103,7 @@
 		t.Errorf("seed %d:\n%s\nstory:\n%s", seed, strings.Join(broken, "\n"), strings.Join(w.notes, "\n"))
 		keepLogs(t, w, seed)
 	}
-	t.Logf("%d hosts, %d requests, %d runs, %d answered whole", len(w.hosts), len(w.callers.records), len(w.ledger.runs), w.answered())
+	t.Logf("%d hosts, all ready %v after the last start, %d requests, %d runs, %d answered whole", len(w.hosts), ready, len(w.callers.records), len(w.ledger.runs), w.answered())
 }
 
 // answered returns how many requests got their whole answer.
