Bound mute heads, avoid slow upstreams of plain services, tell retry spending

A plain upstream that took a request and stayed mute held it until the route's time; one that turned slow with good answers was not told from the others; hosts divided the repeats by their number, and knew nothing of what the others spent. The time that answers take, against the median of the service, costs; it fades within seconds. Reports carry what was sent fresh and once more; no host repeats above 0.85 of what all are allowed as far as they were heard. Messages: protocol 5.

--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -238,3 +238,37 @@
 		t.Errorf("a wait of %.0f ms counts after the engine caught up", wait)
 	}
 }
+
+// Pattern: one of three upstreams of a plain service turns slow, its answers good.
+// Calls go to the others, and come back once it has had time to recover.
+func TestSlowUpstreamIsAvoided(t *testing.T) {
+	c := NewCore("h", "d", 8*time.Second)
+	c.SetUpstreams(start, fleet(1))
+	slow := plan.UpstreamID("a0")
+	run := func(now time.Time, n int) (atSlow int) {
+		for i := range n {
+			l, err := c.Take(now, query(&call.Prompt{}), plainService)
+			if err != nil {
+				t.Fatal(err)
+			}
+			span := 15 * time.Millisecond
+			if l.Upstream.ID == slow {
+				atSlow++
+				span = 120 * time.Millisecond
+			}
+			// Calls overlap, so that each upstream gets some.
+			if i%3 != 0 {
+				defer c.End(now.Add(span), l, Done)
+			}
+			c.Started(now.Add(span), l)
+		}
+		return atSlow
+	}
+	run(start, 9)
+	if n := run(at(100*time.Millisecond), 30); n > 3 {
+		t.Errorf("%d of 30 calls at the slow upstream", n)
+	}
+	if n := run(at(20*time.Second), 30); n == 0 {
+		t.Error("no call at the slow upstream after 20 s")
+	}
+}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -100,6 +100,9 @@
 	floor float64
 	// speed and delay are the pace of the service's engines.
 	speed, delay float64
+	// took is the median of the times in milliseconds that answers of a plain
+	// service take.
+	took float64
 }
 
 // cost returns the cost of running a request on a target. Rank is the target's
@@ -115,7 +118,7 @@
 	}
 	stall := t.oldestWait(d.now) - stallAfter
 	if d.class == Plain {
-		cost += plainCost * float64(load.plain) / float64(max(1, t.upstream.Slots))
+		cost += plainCost*float64(load.plain)/float64(max(1, t.upstream.Slots)) + t.slowness(d.now, d.took)
 	} else {
 		queue := t.queue(d.now, d.speed)
 		stall -= time.Duration(queue * 2 * float64(time.Millisecond))
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -272,6 +272,8 @@
 	if class != Plain {
 		homes = g.homes(q.Prompt.Subject(), class)
 		d.speed, d.delay = g.pace()
+	} else {
+		d.took = g.medianTook()
 	}
 	for i, t := range g.targets {
 		if t.upstream.State != route.Ready || t.misdirected || avoided(q.Avoid, t.upstream.ID) {
@@ -316,6 +318,9 @@
 			l.target.observe(now, float64(first)/float64(time.Millisecond)-delay-float64(l.Missing)/speed)
 		}
 	}
+	if !l.started && l.Class == Plain {
+		l.target.answered(now, now.Sub(l.Taken))
+	}
 	l.start()
 }
 
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -43,6 +43,9 @@
 	// own is the pace of the engines that this host measured, near and far what
 	// its domain's other hosts and the other domains did.
 	own, near, far Pace
+	// sent is what this host sent lately, sentNear what its domain's other hosts
+	// and sentFar what the other domains did.
+	sent, sentNear, sentFar Sent
 }
 
 // forgetOthers forgets what was heard of other hosts.
@@ -50,11 +53,13 @@
 	g.speaker, g.nearWanted = self, 0
 	g.farWanted = g.farWanted[:0]
 	g.near, g.far = Pace{}, Pace{}
+	g.sentNear, g.sentFar = Sent{}, Sent{}
 }
 
 // heardNear takes up what a host of the own domain says.
 func (g *group) heardNear(peer plan.HostID, r *Rate) {
 	g.near = g.near.mix(r.Pace)
+	g.sentNear = g.sentNear.plus(r.Sent)
 	if peer < g.speaker && r.Shorts > 0 {
 		g.speaker, g.nearWanted = peer, r.Shorts
 	}
@@ -63,6 +68,7 @@
 // heardFar takes up what another domain says.
 func (g *group) heardFar(r *Rate) {
 	g.far = g.far.mix(r.Pace)
+	g.sentFar = g.sentFar.plus(r.Sent)
 	if r.Shorts > 0 {
 		g.farWanted = append(g.farWanted, r.Shorts)
 	}
@@ -80,7 +86,7 @@
 // inherit keeps what was measured before the list of upstreams changed. The
 // division is made anew.
 func (g *group) inherit(old *group) {
-	g.wanted, g.own = old.wanted, old.own
+	g.wanted, g.own, g.sent = old.wanted, old.own, old.sent
 }
 
 // spread sorts the targets: the first of each domain, the second of each domain,
@@ -167,6 +173,27 @@
 // and the delay in milliseconds that comes besides.
 func (g *group) pace() (speed, delay float64) { return g.own.mix(g.near).mix(g.far).known() }
 
+// medianTook returns the median of the times that whole answers take, or zero where
+// none is known.
+func (g *group) medianTook() float64 {
+	var known [medianMost]float64
+	n := 0
+	for _, t := range g.targets {
+		if t.took > 0 && n < medianMost {
+			known[n] = t.took
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	sort.Float64s(known[:n])
+	return known[(n-1)/2]
+}
+
+// medianMost bounds the upstreams that the median is taken of.
+const medianMost = 64
+
 // median returns the lower median of a list, which it sorts.
 func median(list []int) int {
 	sort.Ints(list)
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -44,6 +44,20 @@
 	Shorts int
 	// Pace is the measured pace of the service's engines.
 	Pace Pace
+	// Sent is what was sent for the service lately.
+	Sent Sent
+}
+
+// Sent counts what was sent for a service in the window in which repeats are
+// bounded.
+type Sent struct {
+	_ struct{} `cbor:",toarray"`
+	// Fresh counts requests, Repeats those that were sent once more.
+	Fresh, Repeats int
+}
+
+func (s Sent) plus(o Sent) Sent {
+	return Sent{Fresh: s.Fresh + o.Fresh, Repeats: s.Repeats + o.Repeats}
 }
 
 // Report is what one host, or one domain, says of its work.
@@ -87,8 +101,8 @@
 		}
 	}
 	for id, g := range c.services {
-		if g.wanted > 0 {
-			r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.wanted, Pace: g.own})
+		if g.wanted > 0 || g.sent != (Sent{}) {
+			r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.wanted, Pace: g.own, Sent: g.sent})
 		}
 	}
 	return r
@@ -116,14 +130,36 @@
 		r.add(t.key, w)
 	}
 	for id, g := range c.services {
-		if g.wanted == 0 {
+		sent := g.sent.plus(g.sentNear)
+		if g.wanted == 0 && sent == (Sent{}) {
 			continue
 		}
-		r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.domainWanted(), Pace: g.own.mix(g.near)})
+		r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.domainWanted(), Pace: g.own.mix(g.near), Sent: sent})
 	}
 	return r, len(c.peers) + 1
 }
 
+// SetSent notes what this host sent for a service lately.
+func (c *Core) SetSent(id plan.ServiceID, s Sent) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if g := c.services[id]; g != nil {
+		g.sent = s
+	}
+}
+
+// SentElsewhere returns what the other hosts sent for a service lately, as far as
+// they were heard.
+func (c *Core) SentElsewhere(id plan.ServiceID) Sent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.services[id]
+	if g == nil {
+		return Sent{}
+	}
+	return g.sentNear.plus(g.sentFar)
+}
+
 // OtherDomains returns the newest report of each other domain that is not too
 // old to count.
 func (c *Core) OtherDomains(now time.Time) []DomainState {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -81,6 +81,10 @@
 	// were read, as of observedAt.
 	observed   float64
 	observedAt time.Time
+	// took is the time in milliseconds that whole answers of a plain service lately
+	// took, as of tookAt.
+	took   float64
+	tookAt time.Time
 	// failures is the share of answers that were failures, as of decayed.
 	failures float64
 }
@@ -112,6 +116,34 @@
 	t.decayed = now
 }
 
+const (
+	// tookWeight is the weight of one answer in the time that answers take.
+	tookWeight = 0.2
+	// slowFactor times the median of a service is the time from which one of its
+	// upstreams counts as slow.
+	slowFactor = 2.0
+)
+
+// answered takes up how long a whole answer of a plain service took.
+func (t *target) answered(now time.Time, span time.Duration) {
+	ms := float64(span) / float64(time.Millisecond)
+	if t.took == 0 {
+		t.took = ms
+	}
+	t.took += tookWeight * (ms - t.took)
+	t.tookAt = now
+}
+
+// slowness returns by how many milliseconds answers take too long, against the
+// median of the service. It fades, so that a slow upstream is tried again.
+func (t *target) slowness(now time.Time, median float64) float64 {
+	excess := max(0, t.took-slowFactor*median)
+	if excess == 0 {
+		return 0
+	}
+	return excess * math.Exp(-max(0, now.Sub(t.tookAt).Seconds())/failureLife.Seconds())
+}
+
 const (
 	// observedWeight is the weight of one wait in the observed one.
 	observedWeight = 0.3
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -111,7 +111,7 @@
 	links, cleanup := gateway.NewLinks()
 	h.links = links
 	h.cleanups = append(h.cleanups, cleanup)
-	h.budget = gateway.NewBudget(s.Bounds, h.sharers)
+	h.budget = gateway.NewBudget(s.Bounds, h.sharers, h.core)
 	h.suspects = quarantine.NewTable()
 	h.gateway = gateway.NewServer(gateway.Options{
 		Dialect: platform.Dialect{}, Core: h.core, Links: links, Budget: h.budget, Quarantine: h.suspects,
--- a/gateway/budget.go
+++ b/gateway/budget.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
 	"mulberrydyke/setting"
 )
@@ -14,6 +15,9 @@
 	// budgetShare is the part of its allowance that a host uses. The rest is for
 	// what ended processes have spent.
 	budgetShare = 0.6
+	// fleetShare is the part of what all hosts are allowed together above which
+	// none repeats: what the others say is some hundred milliseconds old.
+	fleetShare = 0.85
 )
 
 // Budget bounds how often this host sends a request a second time, so that all
@@ -23,7 +27,9 @@
 	mu     sync.Mutex
 	bounds setting.EdgeBounds
 	// hosts returns how many hosts share the extra repeats.
-	hosts    func() int
+	hosts func() int
+	// core tells other hosts what was sent, and hears it of them.
+	core     *dispatch.Core
 	services map[plan.ServiceID]*window
 }
 
@@ -33,9 +39,10 @@
 	at             int64
 }
 
-// NewBudget returns a budget that a number of hosts share.
-func NewBudget(bounds setting.EdgeBounds, hosts func() int) *Budget {
-	return &Budget{bounds: bounds, hosts: hosts, services: map[plan.ServiceID]*window{}}
+// NewBudget returns a budget that a number of hosts share. What is sent is told to
+// the others by core.
+func NewBudget(bounds setting.EdgeBounds, hosts func() int, core *dispatch.Core) *Budget {
+	return &Budget{bounds: bounds, hosts: hosts, core: core, services: map[plan.ServiceID]*window{}}
 }
 
 // SetBounds takes up other bounds. What was counted under another window is
@@ -55,6 +62,7 @@
 	defer b.mu.Unlock()
 	w := b.window(now, s)
 	w.fresh[w.at%budgetSlots]++
+	b.core.SetSent(s, w.sent())
 }
 
 // Repeat says whether a request may be sent once more, and counts it if so.
@@ -62,19 +70,44 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, s)
-	fresh, repeats := 0, 0
-	for i := range budgetSlots {
-		fresh += w.fresh[i]
-		repeats += w.repeats[i]
-	}
-	allowed := budgetShare * (b.bounds.RetryRatio*float64(fresh) + b.bounds.RetryExtra/float64(max(1, b.hosts())))
-	if float64(repeats+1) > allowed {
+	if !b.allows(w, s) {
 		return false
 	}
 	w.repeats[w.at%budgetSlots]++
+	b.core.SetSent(s, w.sent())
 	return true
 }
 
+// Allows says whether a request might be sent once more now.
+func (b *Budget) Allows(now time.Time, s plan.ServiceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.allows(b.window(now, s), s)
+}
+
+// allows says whether one more repeat is within this host's share, and within what
+// all hosts are allowed as far as they were heard.
+func (b *Budget) allows(w *window, s plan.ServiceID) bool {
+	own := w.sent()
+	share := budgetShare * (b.bounds.RetryRatio*float64(own.Fresh) + b.bounds.RetryExtra/float64(max(1, b.hosts())))
+	if float64(own.Repeats+1) > share {
+		return false
+	}
+	others := b.core.SentElsewhere(s)
+	fleet := fleetShare * (b.bounds.RetryRatio*float64(own.Fresh+others.Fresh) + b.bounds.RetryExtra)
+	return float64(own.Repeats+others.Repeats+1) <= fleet
+}
+
+// sent returns what was sent in the whole window.
+func (w *window) sent() dispatch.Sent {
+	var s dispatch.Sent
+	for i := range budgetSlots {
+		s.Fresh += w.fresh[i]
+		s.Repeats += w.repeats[i]
+	}
+	return s
+}
+
 // window returns a service's window, moved on to now.
 func (b *Budget) window(now time.Time, s plan.ServiceID) *window {
 	at := now.UnixNano() / int64(b.bounds.RetryWindow/budgetSlots)
--- a/gateway/budget_test.go
+++ b/gateway/budget_test.go
@@ -4,6 +4,9 @@
 	"testing"
 	"time"
 
+	"mulberrydyke/dispatch"
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
 	"mulberrydyke/setting"
 )
 
@@ -23,7 +26,7 @@
 	const hosts, fresh = 6, 100
 	total := 0
 	for range hosts {
-		b := NewBudget(bounds, func() int { return hosts })
+		b := NewBudget(bounds, func() int { return hosts }, newCore())
 		for range fresh {
 			b.Fresh(budgetStart, "pool")
 		}
@@ -35,7 +38,7 @@
 }
 
 func TestBudgetComesBackWithItsWindow(t *testing.T) {
-	b := NewBudget(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 50}, func() int { return 1 })
+	b := NewBudget(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 50}, func() int { return 1 }, newCore())
 	first := spend(b, budgetStart)
 	if again := spend(b, budgetStart.Add(8*time.Second)); again != 0 {
 		t.Errorf("%d repeats inside the window", again)
@@ -47,7 +50,7 @@
 
 // Bounds that the operators change hold at once.
 func TestChangedBoundsHoldAtOnce(t *testing.T) {
-	b := NewBudget(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 100}, func() int { return 1 })
+	b := NewBudget(setting.EdgeBounds{RetryWindow: 10 * time.Second, RetryExtra: 100}, func() int { return 1 }, newCore())
 	if spend(b, budgetStart) == 0 {
 		t.Fatal("nothing may be spent at first")
 	}
@@ -56,3 +59,35 @@
 		t.Errorf("%d repeats after the operators forbade them", n)
 	}
 }
+
+// newCore returns a core that knows the service of these tests.
+func newCore() *dispatch.Core {
+	c := dispatch.NewCore("h", "a", time.Second)
+	c.SetUpstreams(budgetStart, &route.Upstreams{ByID: map[plan.UpstreamID]*route.Upstream{"u1": {ID: "u1", Service: "pool"}}})
+	return c
+}
+
+// What other hosts have spent counts, also where this host knows of fewer than there
+// are.
+func TestRepeatsOfOtherHostsCount(t *testing.T) {
+	bounds := setting.EdgeBounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryExtra: 20}
+	core := newCore()
+	b := NewBudget(bounds, func() int { return 1 }, core)
+	told := func(repeats int) dispatch.Report {
+		return dispatch.Report{Rates: []dispatch.Rate{{Service: "pool", Sent: dispatch.Sent{Fresh: 10, Repeats: repeats}}}}
+	}
+	core.Heard(budgetStart, "g", told(12))
+	core.HeardDomain(budgetStart, budgetStart, "b", 4, told(9))
+	if b.Allows(budgetStart, "pool") {
+		t.Error("a repeat is allowed where the others have spent all")
+	}
+	core.Heard(budgetStart, "g", told(0))
+	if !b.Allows(budgetStart, "pool") {
+		t.Error("no repeat is allowed where the others have spent half")
+	}
+	b.Fresh(budgetStart, "pool")
+	want := dispatch.Sent{Fresh: 1}
+	if rates := core.Report(budgetStart).Rates; len(rates) != 1 || rates[0].Sent != want {
+		t.Errorf("told to others: %+v", rates)
+	}
+}
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -208,7 +208,7 @@
 	t.Cleanup(cleanup)
 	bounds := setting.EdgeBounds{RetryRatio: 1, RetryWindow: 10 * time.Second, RetryExtra: 100}
 	f.server = NewServer(Options{
-		Dialect: platform.Dialect{}, Core: f.core, Links: links, Budget: NewBudget(bounds, func() int { return 1 }), Quarantine: quarantine.NewTable(),
+		Dialect: platform.Dialect{}, Core: f.core, Links: links, Budget: NewBudget(bounds, func() int { return 1 }, f.core), Quarantine: quarantine.NewTable(),
 		Table: func() *route.Table {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/gateway/reroute_test.go
+++ b/gateway/reroute_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -88,3 +89,35 @@
 		t.Errorf("status %d", got.status)
 	}
 }
+
+// An upstream that takes a request and stays mute does not hold a request that may
+// be sent once more until its time is up.
+func TestMuteUpstreamDoesNotHoldARequestThatMayBeRepeated(t *testing.T) {
+	var asked atomic.Int32
+	first := func(conn net.Conn, r seen) bool {
+		if asked.Add(1) == 1 {
+			return hangs(conn, r)
+		}
+		return whole(200, "ok")(conn, r)
+	}
+	f := newFixture(t, newStub(t, "u1", first), newStub(t, "u2", first))
+	if got := f.get("/status/"); got.status != 200 || asked.Load() != 2 {
+		t.Errorf("status %d after %d upstreams", got.status, asked.Load())
+	}
+}
+
+// A request that may not run twice stays where it was sent, however long it takes.
+func TestMuteUpstreamKeepsARequestThatMayNotBeRepeated(t *testing.T) {
+	slow := func(conn net.Conn, r seen) bool {
+		time.Sleep(headLeast + 200*time.Millisecond)
+		return whole(200, "late")(conn, r)
+	}
+	a, b := newStub(t, "u1", slow), newStub(t, "u2", slow)
+	f := newFixture(t, a, b)
+	if got := f.post("/place/", "x"); got.status != 200 || got.body != "late" {
+		t.Errorf("status %d, body %q", got.status, got.body)
+	}
+	if n := len(a.got()) + len(b.got()); n != 1 {
+		t.Errorf("sent %d times", n)
+	}
+}
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -206,7 +206,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ignore := cmpopts.IgnoreUnexported(dispatch.Report{}, dispatch.Load{}, dispatch.Rate{}, dispatch.Pace{}, dispatch.Estimate{}, DomainReport{})
+	ignore := cmpopts.IgnoreUnexported(dispatch.Report{}, dispatch.Load{}, dispatch.Rate{}, dispatch.Pace{}, dispatch.Estimate{}, dispatch.Sent{}, DomainReport{})
 	if diff := cmp.Diff(m, got, ignore, cmpopts.EquateComparable(netip.Addr{})); diff != "" {
 		t.Error(diff)
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -15,7 +15,7 @@
 )
 
 // protocolVersion is raised with each change that older hosts can't read.
-const protocolVersion = 4
+const protocolVersion = 5
 
 const (
 	// messageMost bounds a datagram.
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -59,10 +59,15 @@
 	ctx      context.Context
 }
 
-// Send writes a request and reads the head of its answer. When ctx ends, the
+// Send writes a request and reads the head of its answer, for which it waits until
+// a time, or as long as ctx goes on where that is zero. When ctx ends, the
 // connection is closed, which ends the request at the upstream. It fails with a
 // BrokenError; after that, and after Close, the connection is gone.
-func (c *Conn) Send(ctx context.Context, d call.Dialect, r *call.Request, header http.Header) (*Exchange, error) {
+func (c *Conn) Send(ctx context.Context, d call.Dialect, r *call.Request, header http.Header, until time.Time) (*Exchange, error) {
+	if err := c.net.SetReadDeadline(until); err != nil {
+		c.Close()
+		return nil, &BrokenError{Step: "send", Cause: err}
+	}
 	x := &Exchange{conn: c, ctx: ctx, written: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, c.Close)
 	if err := x.write(r, header); err != nil {
@@ -73,6 +78,10 @@
 		x.Close()
 		return nil, &BrokenError{Step: "head", Cause: x.cause(err)}
 	}
+	if err := c.net.SetReadDeadline(time.Time{}); err != nil {
+		x.Close()
+		return nil, &BrokenError{Step: "head", Cause: x.cause(err)}
+	}
 	return x, nil
 }
 
