--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -51,8 +51,6 @@
 	err  string
 	// stopped is when the host had got SIGTERM by the end, or zero.
 	stopped time.Time
-	// fresh says that it went over a new connection.
-	fresh bool
 }
 
 // callers send requests and keep what they see.
@@ -78,7 +76,6 @@
 	read  *bufio.Reader
 	host  int
 	start int
-	fresh bool
 }
 
 // patience is how long a caller waits.
@@ -131,15 +128,14 @@
 	if err != nil {
 		return nil
 	}
-	return &link{conn: conn, read: bufio.NewReader(conn), host: i, start: start, fresh: true}
+	return &link{conn: conn, read: bufio.NewReader(conn), host: i, start: start}
 }
 
 // send sends one request and reads its answer. It returns false where the
 // connection can't be used again. Leave is after how long the caller breaks off,
 // or zero.
 func (c *callers) send(l *link, r *record, leave time.Duration) bool {
-	r.host, r.start, r.began, r.fresh = l.host, l.start, time.Now(), l.fresh
-	l.fresh = false
+	r.host, r.start, r.began = l.host, l.start, time.Now()
 	defer func() {
 		r.ended, r.stopped = time.Now(), c.w.hosts[l.host].stoppedAt()
 	}()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,6 +96,8 @@
 	calls.Wait()
 	// What callers broke off is still on its way to the upstreams.
 	time.Sleep(300 * time.Millisecond)
+	cancel()
+	duties.Wait()
 	w.ledger.mu.Lock()
 	defer w.ledger.mu.Unlock()
 	broken = append(broken, w.judge()...)
