Try upstreams that come back with repeatable requests first

Change: for 1.5 s after it may be tried again, and until it has answered, it gets repeatable requests alone, unless nothing else is there. The test fails without it.

--- a/dispatch/bound_test.go
+++ b/dispatch/bound_test.go
@@ -272,3 +272,37 @@
 		t.Error("no call at the slow upstream after 20 s")
 	}
 }
+
+// Pattern: an upstream of a service that places orders comes back after a crash. The
+// first request it gets is one that may be sent once more; only where there is none
+// for a while does it get any other.
+func TestUpstreamIsTriedWithRepeatableRequests(t *testing.T) {
+	c := NewCore("h", "d", 8*time.Second)
+	c.SetUpstreams(start, fleet(1))
+	taken := func(now time.Time, repeatable bool) bool {
+		for range 60 {
+			q := query(&call.Prompt{})
+			q.Repeatable = repeatable
+			l, err := c.Take(now, q, plainService)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if l.Upstream.ID == "a0" {
+				c.End(now, l, Abandoned)
+				return true
+			}
+		}
+		return false
+	}
+	c.targets["a0"].shun(start)
+	back := at(shunFirst + time.Millisecond)
+	if taken(back, false) {
+		t.Error("tried with a request that may not be sent twice")
+	}
+	if !taken(back, true) {
+		t.Error("not tried with a request that may")
+	}
+	if !taken(back.Add(trialTime), false) {
+		t.Error("never tried where no request may be sent twice")
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,6 +67,9 @@
 	Target time.Duration
 	// Urgency is the request's rank at an engine.
 	Urgency int
+	// Repeatable says that the request may be sent once more, so that an upstream
+	// may be tried with it that failed lately.
+	Repeatable bool
 	// Draw is a random number from 0 up to 1, which spreads the returns of
 	// refused callers.
 	Draw float64
@@ -280,7 +283,8 @@
 			continue
 		}
 		shunned := t.shunnedUntil.Sub(now)
-		if (shunned > 0 || c.down(now, t)) && !desperate || t.full(s) {
+		avoid := shunned > 0 || c.down(now, t) || t.onTrial(now) && !q.Repeatable
+		if avoid && !desperate || t.full(s) {
 			continue
 		}
 		found.candidates++
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -240,6 +240,16 @@
 	t.shunnedUntil = now.Add(span)
 }
 
+// trialTime is how long an upstream that was left alone is tried with repeatable
+// requests alone. Afterwards any will do, in case there are no repeatable ones.
+const trialTime = 1500 * time.Millisecond
+
+// onTrial says whether the upstream was left alone lately and has not answered
+// since.
+func (t *target) onTrial(now time.Time) bool {
+	return t.misses > 0 && now.Sub(t.shunnedUntil) < trialTime
+}
+
 // oldestWait returns how long the oldest of this host's requests has waited for
 // its first event.
 func (t *target) oldestWait(now time.Time) time.Duration {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -114,7 +114,7 @@
 	}
 	lease, err := s.Core.Take(s.Now(), dispatch.Query{
 		Service: x.service, Prompt: &x.request.Prompt, Avoid: x.avoid, Target: x.route.Target,
-		Urgency: dispatch.Urgency(x.route, x.account), Draw: rand.Float64(),
+		Urgency: dispatch.Urgency(x.route, x.account), Repeatable: x.route.Repeatable(), Draw: rand.Float64(),
 	}, service)
 	if err != nil {
 		x.cause = err.Error()
