Soak: reserve the addresses of a run

Change: a run holds a listener on an address of its 127.x, and takes the next where another run holds it.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -29,8 +30,26 @@
 	1030: "a host was paused while the system loaded it, and got SIGHUP then: no program can take that; the soak waits for its first line",
 }
 
-// firstOctet keeps the addresses of runs apart; each uses 127.x of its own.
-const firstOctet = 20
+// Each run uses 127.x of its own.
+const (
+	firstOctet = 20
+	lastOctet  = 250
+)
+
+// reserve returns an octet that no other run on this machine uses, of this process or
+// another, until the test ends.
+func reserve(t *testing.T) int {
+	t.Helper()
+	for octet := firstOctet; octet <= lastOctet; octet++ {
+		l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.255.254:%d", octet, peerPort))
+		if err == nil {
+			t.Cleanup(func() { _ = l.Close() })
+			return octet
+		}
+	}
+	t.Fatal("no addresses are free")
+	return 0
+}
 
 func TestSoak(t *testing.T) {
 	seeds := map[uint64]bool{}
@@ -40,13 +59,10 @@
 	for seed := range failedOnce {
 		seeds[seed] = true
 	}
-	octet := firstOctet
 	for seed := range seeds {
-		octet++
-		own := octet
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			soak(t, seed, own)
+			soak(t, seed, reserve(t))
 		})
 	}
 }
