Await slow services as long as they usually take; one place for what stood twice

Cause, found on rereading the change: the bound on mute heads knew the target alone. A repeatable call of a service that takes longer than 400 ms, or of a route without a target, was broken off while its upstream was at work and sent once more. Two new tests failed on the code before: each call reached two upstreams. Change: the bound is four times the target or the median of the service's answers, where that is longer; a route without a target has none. Besides: whether an upstream is left alone, and what a report says of a service, each stand in one place; the number of suspects is no longer kept beside the suspects; in the soak a fault that ends or pauses a process holds its host in one place, and an upstream that leaves while it restarts is not listed again (the soak could have told of a broken promise that was its own).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,7 +92,10 @@
 	Shorts int
 	// Pace is the measured reading speed of the service's engines, in tokens a
 	// millisecond.
-	Pace    float64
+	Pace float64
+	// Usual is the time that answers of a plain service usually take. Zero means
+	// that none was measured.
+	Usual   time.Duration
 	target  *target
 	started bool
 	ended   bool
@@ -251,6 +254,9 @@
 		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
 		Shorts: g.shorts, Pace: speed,
 	}
+	if class == Plain {
+		l.Usual = time.Duration(g.medianTook() * float64(time.Millisecond))
+	}
 	best.target.take(l)
 	if class != Plain {
 		c.cache.sent(now, best.target.upstream.ID, q.Prompt)
@@ -282,8 +288,7 @@
 		if t.upstream.State != route.Ready || t.misdirected || avoided(q.Avoid, t.upstream.ID) {
 			continue
 		}
-		shunned := t.shunnedUntil.Sub(now)
-		avoid := shunned > 0 || c.down(now, t) || t.onTrial(now) && !q.Repeatable
+		avoid := c.leftAlone(now, t) || t.onTrial(now) && !q.Repeatable
 		if avoid && !desperate || t.full(s) {
 			continue
 		}
@@ -293,7 +298,7 @@
 			missing = c.missing(now, t, rank, q.Prompt)
 		}
 		cost := c.cost(&d, t, missing, rank)
-		cost += shunnedCost * max(0, shunned.Seconds())
+		cost += shunnedCost * max(0, t.shunnedUntil.Sub(now).Seconds())
 		if cost < found.cost {
 			found.target, found.cost, found.missing = t, cost, missing
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -244,7 +244,7 @@
 			continue
 		}
 		ready++
-		if now.Before(t.shunnedUntil) || c.down(now, t) {
+		if c.leftAlone(now, t) {
 			down++
 		}
 	}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -101,22 +101,11 @@
 		}
 	}
 	for id, g := range c.services {
-		if g.wanted > 0 || g.sent != (Sent{}) {
-			r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.wanted, Pace: g.own, Sent: g.sent})
-		}
+		r.addRate(Rate{Service: id, Shorts: g.wanted, Pace: g.own, Sent: g.sent})
 	}
 	return r
 }
 
-func (r *Report) add(k UpstreamKey, w work) {
-	if w.running() == 0 && w.arriving < 1 {
-		return
-	}
-	r.Loads = append(r.Loads, Load{
-		Upstream: k, Short: w.short, Long: w.long, Plain: w.plain, Pending: w.pending, Arriving: int(w.arriving),
-	})
-}
-
 // DomainReport returns what all hosts of the own domain run, and their number.
 func (c *Core) DomainReport(now time.Time) (Report, int) {
 	c.mu.Lock()
@@ -130,15 +119,27 @@
 		r.add(t.key, w)
 	}
 	for id, g := range c.services {
-		sent := g.sent.plus(g.sentNear)
-		if g.wanted == 0 && sent == (Sent{}) {
-			continue
-		}
-		r.Rates = append(r.Rates, Rate{Service: id, Shorts: g.domainWanted(), Pace: g.own.mix(g.near), Sent: sent})
+		r.addRate(Rate{Service: id, Shorts: g.domainWanted(), Pace: g.own.mix(g.near), Sent: g.sent.plus(g.sentNear)})
 	}
 	return r, len(c.peers) + 1
 }
 
+func (r *Report) add(k UpstreamKey, w work) {
+	if w.running() == 0 && w.arriving < 1 {
+		return
+	}
+	r.Loads = append(r.Loads, Load{
+		Upstream: k, Short: w.short, Long: w.long, Plain: w.plain, Pending: w.pending, Arriving: int(w.arriving),
+	})
+}
+
+// addRate adds what is said of a service, where anything is.
+func (r *Report) addRate(rate Rate) {
+	if rate.Shorts > 0 || rate.Sent != (Sent{}) {
+		r.Rates = append(r.Rates, rate)
+	}
+}
+
 // SetSent notes what this host sent for a service lately.
 func (c *Core) SetSent(id plan.ServiceID, s Sent) {
 	c.mu.Lock()
@@ -195,6 +196,12 @@
 // down for the others to believe it. In a domain of two one is enough.
 const downVotesMost = 2
 
+// leftAlone says whether this host, or others of its domain, leave an upstream
+// alone after failures to reach it.
+func (c *Core) leftAlone(now time.Time, t *target) bool {
+	return now.Before(t.shunnedUntil) || c.down(now, t)
+}
+
 // down says whether hosts of the own domain, this one included, find an upstream
 // down.
 func (c *Core) down(now time.Time, t *target) bool {
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -182,7 +182,7 @@
 		Urgency: x.urgency(lease.Class), LastEvent: x.lastEvent,
 	})
 	x.sends++
-	sent, err := conn.Send(ctx, s.Dialect, x.request, header, x.headUntil(now, lease.Class))
+	sent, err := conn.Send(ctx, s.Dialect, x.request, header, x.headUntil(now, lease))
 	if err != nil {
 		x.runs++
 		x.end(ctx, lease, dispatch.Broken, err)
@@ -212,8 +212,9 @@
 }
 
 const (
-	// headFactor times the target is how long the head of an answer is awaited
-	// from an upstream of a plain service while another may be asked.
+	// headFactor times the target, or the time that answers of the service usually
+	// take where that is longer, is how long the head of an answer is awaited from
+	// an upstream of a plain service while another may be asked.
 	headFactor = 4
 	// headLeast is the least of it.
 	headLeast = 400 * time.Millisecond
@@ -221,13 +222,14 @@
 
 // headUntil returns until when the head of an answer is awaited, or zero where
 // nothing but the time of the request bounds it: a request that may not be sent
-// once more stays where it is, and so do prompts, whose wait is that of a queue.
-func (x *exchange) headUntil(now time.Time, c dispatch.Class) time.Time {
+// once more stays where it is, and so do prompts, whose wait is that of a queue, and
+// requests of routes that name no target.
+func (x *exchange) headUntil(now time.Time, l *dispatch.Lease) time.Time {
 	mayRepeat := x.route.Repeatable() && x.runs+1 < x.route.Attempts && x.server.Budget.Allows(now, x.service)
-	if c != dispatch.Plain || !mayRepeat {
+	if l.Class != dispatch.Plain || x.route.Target <= 0 || !mayRepeat {
 		return time.Time{}
 	}
-	return now.Add(max(headLeast, headFactor*x.route.Target))
+	return now.Add(max(headLeast, headFactor*max(x.route.Target, l.Usual)))
 }
 
 // errUnsealed is the cause where an answer does not bear the upstream's seal or
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -181,7 +181,8 @@
 func testRoutes() []*route.Route {
 	splits := []route.Split{{Service: "pool", Weight: 1}}
 	return []*route.Route{
-		{Name: "status", Host: "127.0.0.1", Prefix: "/status/", Kind: route.Idempotent, Timeout: 5 * time.Second, Attempts: 2, Splits: splits},
+		{Name: "status", Host: "127.0.0.1", Prefix: "/status/", Kind: route.Idempotent, Timeout: 5 * time.Second, Target: 50 * time.Millisecond, Attempts: 2, Splits: splits},
+		{Name: "export", Host: "127.0.0.1", Prefix: "/export/", Kind: route.Idempotent, Timeout: 5 * time.Second, Attempts: 2, Splits: splits},
 		{Name: "place", Host: "127.0.0.1", Prefix: "/place/", Kind: route.NonIdempotent, Timeout: 5 * time.Second, Attempts: 1, Splits: splits},
 		{Name: "brief", Host: "127.0.0.1", Prefix: "/brief/", Kind: route.Idempotent, Timeout: 100 * time.Millisecond, Attempts: 2, Splits: splits},
 		{Name: "draft", Host: "127.0.0.1", Prefix: "/draft/", Kind: route.Stream, Timeout: 5 * time.Second, Attempts: 1, Splits: splits},
--- a/gateway/reroute_test.go
+++ b/gateway/reroute_test.go
@@ -108,11 +108,7 @@
 
 // A request that may not run twice stays where it was sent, however long it takes.
 func TestMuteUpstreamKeepsARequestThatMayNotBeRepeated(t *testing.T) {
-	slow := func(conn net.Conn, r seen) bool {
-		time.Sleep(headLeast + 200*time.Millisecond)
-		return whole(200, "late")(conn, r)
-	}
-	a, b := newStub(t, "u1", slow), newStub(t, "u2", slow)
+	a, b := newStub(t, "u1", slowAnswer), newStub(t, "u2", slowAnswer)
 	f := newFixture(t, a, b)
 	if got := f.post("/place/", "x"); got.status != 200 || got.body != "late" {
 		t.Errorf("status %d, body %q", got.status, got.body)
@@ -121,3 +117,34 @@
 		t.Errorf("sent %d times", n)
 	}
 }
+
+// slowAnswer answers well after the bound on mute upstreams of fast services.
+func slowAnswer(conn net.Conn, r seen) bool {
+	time.Sleep(headLeast + 200*time.Millisecond)
+	return whole(200, "late")(conn, r)
+}
+
+// A route without a target may be as slow as its time-out allows.
+func TestSlowAnswerOfARouteWithoutATargetIsAwaited(t *testing.T) {
+	a, b := newStub(t, "u1", slowAnswer), newStub(t, "u2", slowAnswer)
+	f := newFixture(t, a, b)
+	if got := f.get("/export/"); got.status != 200 || len(a.got())+len(b.got()) != 1 {
+		t.Errorf("status %d after %d sends", got.status, len(a.got())+len(b.got()))
+	}
+}
+
+// Where all upstreams of a service take longer than the target says, requests are
+// not taken from one to the other.
+func TestSlowServiceIsAwaitedAsLongAsItUsuallyTakes(t *testing.T) {
+	a, b := newStub(t, "u1", slowAnswer), newStub(t, "u2", slowAnswer)
+	f := newFixture(t, a, b)
+	for range 2 {
+		if got := f.post("/place/", "x"); got.status != 200 {
+			t.Fatalf("status %d", got.status)
+		}
+	}
+	before := len(a.got()) + len(b.got())
+	if got := f.get("/status/"); got.status != 200 || len(a.got())+len(b.got()) != before+1 {
+		t.Errorf("status %d after %d sends", got.status, len(a.got())+len(b.got())-before)
+	}
+}
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -53,6 +53,9 @@
 	return &Suspects{byContent: map[ContentHash]*suspicion{}, proven: map[ContentHash]bool{}}
 }
 
+// Empty says that nothing is suspected.
+func (s *Suspects) Empty() bool { return len(s.byContent) == 0 }
+
 // RecordCrash records that content was running when an upstream crashed. A second
 // crash quarantines it for the given span.
 func (s *Suspects) RecordCrash(now time.Time, content ContentHash, crash Crash, quarantine time.Duration) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -27,8 +27,6 @@
 type Table struct {
 	mu       sync.Mutex
 	suspects *pool.Suspects
-	// size is the number of suspects when the table last changed.
-	size int
 }
 
 // NewTable returns an empty table.
@@ -50,7 +48,7 @@
 func (t *Table) Empty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.size == 0
+	return t.suspects.Empty()
 }
 
 // Crashed records that an upstream crashed while it ran a content.
@@ -59,7 +57,6 @@
 	defer t.mu.Unlock()
 	crash := pool.Crash{Upstream: u.ID, Instance: pool.Instance(u.Born.UTC().Format(time.RFC3339Nano))}
 	t.suspects.RecordCrash(now, c, crash, Span)
-	t.count(now)
 }
 
 // Finished records that an upstream ran a content to its end.
@@ -68,7 +65,6 @@
 	defer t.mu.Unlock()
 	if t.suspects.IsSuspect(now, c) {
 		t.suspects.Clear(c)
-		t.count(now)
 	}
 }
 
@@ -85,7 +81,6 @@
 	defer t.mu.Unlock()
 	t.suspects.Expire(now)
 	list := t.suspects.List(now)
-	t.size = len(list)
 	slices.SortStableFunc(list, func(a, b pool.Suspect) int { return len(b.Crashes) - len(a.Crashes) })
 	return list[:min(toldMost, len(list))]
 }
@@ -94,9 +89,5 @@
 func (t *Table) Learn(now time.Time, list []pool.Suspect) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	fresh := t.suspects.Merge(now, list, Span)
-	t.count(now)
-	return fresh
+	return t.suspects.Merge(now, list, Span)
 }
-
-func (t *Table) count(now time.Time) { t.size = len(t.suspects.List(now)) }
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -90,11 +90,21 @@
 	}
 }
 
-func (in *injector) kill(random *rand.Rand, span time.Duration) {
-	i := in.pickHost(random)
+// hold draws a host for an unplanned fault, and keeps other faults of processes from
+// it until the returned function is called.
+func (in *injector) hold(random *rand.Rand) (i int, release func()) {
+	i = in.pickHost(random)
 	in.signals[i].Lock()
-	defer in.signals[i].Unlock()
-	defer in.w.begin(hostTrouble(i), false)()
+	end := in.w.begin(hostTrouble(i), false)
+	return i, func() {
+		end()
+		in.signals[i].Unlock()
+	}
+}
+
+func (in *injector) kill(random *rand.Rand, span time.Duration) {
+	i, release := in.hold(random)
+	defer release()
 	in.w.note("host %d killed for %v", i, span)
 	in.w.hosts[i].signal(syscall.SIGKILL)
 	time.Sleep(span)
@@ -134,10 +144,8 @@
 }
 
 func (in *injector) pause(random *rand.Rand, span time.Duration) {
-	i := in.pickHost(random)
-	in.signals[i].Lock()
-	defer in.signals[i].Unlock()
-	defer in.w.begin(hostTrouble(i), false)()
+	i, release := in.hold(random)
+	defer release()
 	in.w.note("host %d paused for %v", i, span)
 	in.w.hosts[i].signal(syscall.SIGSTOP)
 	time.Sleep(span)
@@ -246,12 +254,7 @@
 	u.born = time.Now()
 	u.mu.Unlock()
 	u.proxy.Set(fault.Pass)
-	in.w.mu.Lock()
-	_, left := in.w.leaving[u.id]
-	in.w.mu.Unlock()
-	if !left {
-		in.w.store.put("servers/"+u.id, u.entry("ready"))
-	}
+	in.w.relist(u)
 }
 
 func (in *injector) revoke(*rand.Rand, time.Duration) {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -233,17 +234,18 @@
 // drain has an upstream leave.
 func (w *world) drain(u *upstream) {
 	w.mu.Lock()
-	for i, x := range w.upstreams {
-		if x == u {
-			w.upstreams = append(w.upstreams[:i:i], w.upstreams[i+1:]...)
-			break
-		}
-	}
-	w.mu.Unlock()
-	at := w.store.put("servers/"+u.id, u.entry("draining"))
+	defer w.mu.Unlock()
+	w.upstreams = slices.DeleteFunc(w.upstreams, func(x *upstream) bool { return x == u })
+	w.leaving[u.id] = w.store.put("servers/"+u.id, u.entry("draining"))
+}
+
+// relist lists an upstream that started again, unless it was to leave meanwhile.
+func (w *world) relist(u *upstream) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.leaving[u.id] = at
+	if _, left := w.leaving[u.id]; !left {
+		w.store.put("servers/"+u.id, u.entry("ready"))
+	}
 }
 
 // poll asks all hosts whether they are ready, until ctx ends, as a balancer does.
