--- a/edge/edge.go
+++ b/edge/edge.go
@@ -208,6 +208,14 @@
 	h.metrics.NewGauge("mulberrydyke_connections_opened_total", func() float64 { return float64(h.connPools.ConnsOpened()) })
 	h.metrics.NewGauge("mulberrydyke_hosts_in_reach", func() float64 { return float64(h.gossipNode.LiveCount()) })
 	h.metrics.NewGauge("mulberrydyke_peer_messages_refused_total", func() float64 { return float64(h.gossipNode.RefusedMessages()) })
+	h.metrics.NewGauge("mulberrydyke_crash_suspects", func() float64 {
+		suspects, _ := h.quarantine.Counts(time.Now())
+		return float64(suspects)
+	})
+	h.metrics.NewGauge("mulberrydyke_quarantined_requests", func() float64 {
+		_, quarantined := h.quarantine.Counts(time.Now())
+		return float64(quarantined)
+	})
 	h.metrics.NewGauge("mulberrydyke_table_version", func() float64 {
 		table, _ := h.Versions()
 		return float64(table)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -80,6 +80,19 @@
 	return t.suspects.QuarantineLeft(now, c)
 }
 
+// Counts returns the number of suspects, and how many of them are in quarantine.
+func (t *Table) Counts(now time.Time) (suspects, quarantined int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.suspects.List(now) {
+		suspects++
+		if t.suspects.QuarantineLeft(now, s.Content) > 0 {
+			quarantined++
+		}
+	}
+	return suspects, quarantined
+}
+
 // SuspectsToShare returns up to maxSharedSuspects suspects to send to other
 // hosts, those in quarantine first.
 func (t *Table) SuspectsToShare(now time.Time) []pool.Suspect {
