--- /dev/null
+++ b/gossip/crashnews_test.go
@@ -0,0 +1,80 @@
+package gossip
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/pool"
+	"mulberrydyke/route"
+)
+
+// knowsWithin is the time in which all hosts in touch must refuse a request after its
+// third crash.
+const knowsWithin = 3 * time.Second
+
+// recordCrashes records crashes of a content, each seen by another host.
+func (f *simFleet) recordCrashes(content pool.ContentHash, firstUpstream int, seenBy ...*simHost) {
+	for i, h := range seenBy {
+		u := &route.Upstream{ID: simUpstream(firstUpstream + i), StartedAt: start}
+		h.Quarantine.RecordCrash(f.now, content, u)
+	}
+}
+
+// crashManyBystanders lets upstreams crash while requests of all hosts run there. Half of
+// the requests are retried at an upstream that crashes too.
+func (f *simFleet) crashManyBystanders(requestsPerHost int) {
+	content := pool.ContentHash(1)
+	for i, h := range f.hosts {
+		for range requestsPerHost {
+			content += 2
+			f.recordCrashes(content, i, h)
+			if content%4 == 1 {
+				f.recordCrashes(content, i+1, h)
+			}
+		}
+	}
+}
+
+// hostsServing returns the hosts that are up and do not refuse a content.
+func (f *simFleet) hostsServing(content pool.ContentHash) []plan.HostID {
+	var out []plan.HostID
+	for _, h := range f.hosts {
+		if !h.down && h.Quarantine.QuarantineLeft(f.now, content) == 0 {
+			out = append(out, h.Host)
+		}
+	}
+	return out
+}
+
+// restart replaces a host by one that knows nothing.
+func (f *simFleet) restart(i int) {
+	old := f.hosts[i]
+	f.addHost(old.IP, old.Domain, old.Seeds, &route.Upstreams{})
+	f.hosts[i] = f.hosts[len(f.hosts)-1]
+	f.hosts = f.hosts[:len(f.hosts)-1]
+}
+
+// TestNewCrashesAreToldBesideManyOlderOnes guards against hosts that go on sending a
+// request that has crashed three upstreams, because the news of it does not get out
+// beside the suspects of an earlier crash of many upstreams.
+func TestNewCrashesAreToldBesideManyOlderOnes(t *testing.T) {
+	for _, size := range []struct{ domains, hostsPerDomain, requestsPerHost int }{{3, 2, 11}, {3, 3, 8}, {5, 60, 2}} {
+		t.Run(fmt.Sprintf("%d hosts", size.domains*size.hostsPerDomain), func(t *testing.T) {
+			f := newSimFleet(t, size.domains, size.hostsPerDomain, 60, 0.05)
+			f.run(5*time.Second, nil)
+			f.crashManyBystanders(size.requestsPerHost)
+			f.run(6*time.Second, nil)
+
+			const deadly = pool.ContentHash(1<<64 - 1)
+			last := len(f.hosts) - 1
+			f.recordCrashes(deadly, 50, f.hosts[0], f.hosts[last], f.hosts[last/2])
+			f.restart(1)
+			f.run(knowsWithin, nil)
+			if serving := f.hostsServing(deadly); len(serving) > 0 {
+				t.Errorf("%d of %d hosts still send a request that crashed three upstreams: %v", len(serving), len(f.hosts), serving[:min(5, len(serving))])
+			}
+		})
+	}
+}
