Tell new crashes before old ones, at once and to all domains

Cause: the exchange took the first 16 suspects by number of crashes and then by the hash of their content, and sent 4 of them a message. Suspects in quarantine stay for a minute, so 16 of an earlier crash of many upstreams kept all later ones from ever being told, unless their hash was low. It is starvation: a bounded list with a fixed order. A full table of 4,096 suspects dropped new crashes likewise.

TestNewCrashesAreToldBesideManyOlderOnes shows it without a network: 6 of 6, 9 of 9 and 300 of 300 hosts sent the request on 3 s after its third crash; now none does, with 5 % of the datagrams lost and a host restarted.

Change: suspects have messages of their own. Those told least are told first, the newest of them before the others, each five times; what was not told yet is sent at once, and speakers and reporters pass it on at once. So the way through five hosts takes five network delays, not up to five rounds, and a lost datagram costs a round. Requests in quarantine are repeated twice a second for hosts that start or were out of reach. A full table drops the oldest suspect. Suspects that are about to expire are not taken over, so that hosts can't keep reminding each other.

Messages have a new form, so the protocol version is raised.

--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -7,7 +7,6 @@
 
 	"mulberrydyke/dispatch"
 	"mulberrydyke/link"
-	"mulberrydyke/pool"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/route"
 )
@@ -19,7 +18,7 @@
 	if table.Empty() {
 		return 0
 	}
-	return table.QuarantineLeft(x.server.Now(), quarantine.HashRequest(x.request))
+	return table.QuarantineLeft(x.server.Now(), quarantine.KeyOf(x.request))
 }
 
 // updateQuarantine records what the result of an attempt tells about the request's
@@ -29,7 +28,7 @@
 	table := x.server.Quarantine
 	if result == dispatch.Done {
 		if !table.Empty() {
-			table.RecordFinished(x.server.Now(), quarantine.HashRequest(x.request))
+			table.RecordFinished(quarantine.KeyOf(x.request))
 		}
 		return
 	}
@@ -37,11 +36,11 @@
 	if result != dispatch.Broken || !errors.As(err, &exchangeErr) || !exchangeErr.ClosedByUpstream() {
 		return
 	}
-	go x.server.recordIfCrashed(lease.Upstream, quarantine.HashRequest(x.request), string(x.request.ID))
+	go x.server.recordIfCrashed(lease.Upstream, quarantine.KeyOf(x.request), string(x.request.ID))
 }
 
 // recordIfCrashed records a crash if the upstream accepts no new connection.
-func (s *Server) recordIfCrashed(upstream *route.Upstream, content pool.ContentHash, id string) {
+func (s *Server) recordIfCrashed(upstream *route.Upstream, content quarantine.Key, id string) {
 	if !s.ConnPools.Get(upstream).Unreachable(context.Background(), s.Now()) {
 		return
 	}
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -33,6 +33,8 @@
 	// offset is when in each interval the host sends.
 	offset    time.Duration
 	sentBytes int
+	// lastHeadlines is when the host last told new suspects at once.
+	lastHeadlines time.Time
 	// cutFrom, if set, reports which hosts are out of reach.
 	cutFrom func(*simHost) bool
 }
@@ -120,6 +122,7 @@
 			case f.now.Sub(start)%startInterval == h.offset%startInterval:
 				h.decideReading(f.now)
 			}
+			f.runHeadlines(h)
 		}
 		if check != nil {
 			check()
@@ -127,6 +130,19 @@
 	}
 }
 
+// runHeadlines does what the goroutine of the same name does.
+func (f *simFleet) runHeadlines(h *simHost) {
+	if h.down || f.now.Sub(h.lastHeadlines) < headlineInterval {
+		return
+	}
+	select {
+	case <-h.Quarantine.Changed():
+		h.lastHeadlines = f.now
+		h.sendHeadlines(f.now)
+	default:
+	}
+}
+
 // readers returns the number of hosts that read the store.
 func (f *simFleet) readers() int {
 	n := 0
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -13,14 +13,14 @@
 
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
-	"mulberrydyke/pool"
+	"mulberrydyke/quarantine"
 )
 
 // protocolVersion is raised with each change that older hosts can't decode. Hosts
 // of different versions do not hear each other: each set of hosts counts as the
 // whole fleet, reads the platform's store by itself and shares its upstreams with
 // the other set without knowing its load.
-const protocolVersion = 6
+const protocolVersion = 7
 
 const (
 	// maxMessageBytes bounds a datagram that is received.
@@ -29,7 +29,7 @@
 	// fits into one frame of most networks.
 	maxReportBytes = 900
 	// maxSuspects bounds the suspects in one message.
-	maxSuspects = 4
+	maxSuspects = 64
 	// maxLocalPeers and maxRemotePeers bound the addresses of hosts of the local
 	// domain and of another domain in one message.
 	maxLocalPeers  = 8
@@ -64,6 +64,8 @@
 	KindRest
 	// KindHello carries no report.
 	KindHello
+	// KindSuspects carries requests suspected of crashing upstreams, and no report.
+	KindSuspects
 )
 
 // Message is the datagram that a host sends to its peers.
@@ -88,8 +90,8 @@
 	Peers []DomainPeers `cbor:"11,keyasint,omitempty"`
 	// Suspects are the requests that were running on upstreams when these
 	// crashed, identified by a hash of their content.
-	Suspects []pool.Suspect `cbor:"12,keyasint,omitempty"`
-	Kind     Kind           `cbor:"13,keyasint"`
+	Suspects []quarantine.Suspect `cbor:"12,keyasint,omitempty"`
+	Kind     Kind                 `cbor:"13,keyasint"`
 	// Group is the sender's group.
 	Group GroupID `cbor:"14,keyasint"`
 	// Hosts is the number of hosts that the report includes.
@@ -141,7 +143,7 @@
 		return &DecodeError{Reason: fmt.Sprintf("unsupported protocol version %d", m.Protocol)}
 	case m.Host == "" || m.Domain == "" || m.Incarnation == 0:
 		return &DecodeError{Reason: "missing host, domain or incarnation"}
-	case m.Kind < KindHost || m.Kind > KindHello || m.Group == 0:
+	case m.Kind < KindHost || m.Kind > KindSuspects || m.Group == 0:
 		return &DecodeError{Reason: "unknown kind or missing group"}
 	case m.Hosts < 0 || m.ReaderAge < 0:
 		return &DecodeError{Reason: "negative number of hosts or age"}
@@ -149,7 +151,7 @@
 		return &DecodeError{Reason: "too many suspects"}
 	}
 	for _, s := range m.Suspects {
-		if s.Content == 0 || len(s.Crashes) == 0 || s.Left < 0 {
+		if !s.Valid() {
 			return &DecodeError{Reason: "malformed suspect"}
 		}
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -65,7 +65,8 @@
 	RPCAddr  netip.AddrPort
 	Seeds    []netip.AddrPort
 	Balancer *dispatch.Balancer
-	// Quarantine holds the requests suspected of crashing upstreams.
+	// Quarantine holds the requests suspected of crashing upstreams, which hosts tell
+	// each other.
 	Quarantine *quarantine.Table
 	Lists      Lists
 	Log        *slog.Logger
@@ -99,6 +100,8 @@
 	// progress.
 	lastFetch time.Time
 	fetching  bool
+	// suspectRounds counts the calls of tellSuspects.
+	suspectRounds int
 }
 
 // Listen opens the sockets of a node. The returned function closes them.
@@ -187,6 +190,9 @@
 	defer ticker.Stop()
 	startTicker := time.NewTicker(startInterval)
 	defer startTicker.Stop()
+	var tasks sync.WaitGroup
+	defer tasks.Wait()
+	tasks.Go(func() { n.runHeadlines(ctx) })
 	n.send(n.Now(), false)
 	for {
 		select {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -3,8 +3,6 @@
 import (
 	"net/netip"
 	"time"
-
-	"mulberrydyke/pool"
 )
 
 // Receive handles incoming messages until the socket is closed.
@@ -36,8 +34,8 @@
 		return
 	}
 	n.applyReport(now, msg, role, group)
-	if len(msg.Suspects) > 0 && n.Quarantine.Merge(now, msg.Suspects) {
-		n.Log.Info("suspects told", "by", string(msg.Host), "contents", contentsOf(msg.Suspects))
+	if n.Quarantine.Merge(now, msg.Suspects) {
+		n.Log.Info("suspects told", "by", string(msg.Host), "contents", keysOf(msg.Suspects))
 	}
 	if reply {
 		n.sendHello(now, from)
@@ -45,15 +43,6 @@
 	n.requestCatchUp()
 }
 
-// contentsOf returns the content hashes of suspects, for the log.
-func contentsOf(suspects []pool.Suspect) []uint64 {
-	out := make([]uint64, 0, len(suspects))
-	for _, s := range suspects {
-		out = append(out, uint64(s.Content))
-	}
-	return out
-}
-
 // sendHello sends a message without a report.
 func (n *Node) sendHello(now time.Time, to netip.Addr) {
 	n.mu.Lock()
@@ -87,6 +76,6 @@
 		if local && role == RoleMember && msg.Group == group {
 			n.Balancer.ApplyRestReport(now, msg.Hosts, msg.Report)
 		}
-	case KindHello:
+	case KindHello, KindSuspects:
 	}
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -3,8 +3,6 @@
 import (
 	"net/netip"
 	"time"
-
-	"mulberrydyke/pool"
 )
 
 // fleetView is what this host logs of the fleet.
@@ -29,6 +27,7 @@
 	n.Balancer.SetSources(now, view.role >= RoleSpeaker, view.role == RoleReporter)
 	n.sendReport(now, targets.Group, Message{Kind: KindHost, Report: n.Balancer.Report(now)})
 	n.sendToGroups(now, targets)
+	n.tellSuspects(now, targets.Group)
 	if len(targets.Domains) > 0 {
 		report, hosts := n.Balancer.DomainReport(now)
 		n.sendReport(now, targets.Domains, Message{Kind: KindDomain, Hosts: hosts, Report: report})
@@ -79,11 +78,10 @@
 	msg.Protocol, msg.Host, msg.Domain, msg.Incarnation = protocolVersion, n.Host, n.Domain, n.Incarnation
 	msg.TableVersion, msg.Revision = n.Lists.Versions()
 	reading := n.Lists.Reading()
-	suspects := n.Quarantine.SuspectsToShare(now)
 	n.mu.Lock()
 	n.sequence++
 	msg.Sequence, msg.Role, msg.Group = n.sequence, n.role, n.group
-	if msg.Kind != KindHello {
+	if msg.Kind != KindHello && msg.Kind != KindSuspects {
 		msg.Peers = n.peers
 	}
 	reader, knownAt := n.members.Reader(now, reading)
@@ -91,7 +89,6 @@
 		msg.Reader, msg.ReaderAge = reader, now.Sub(knownAt)
 	}
 	n.mu.Unlock()
-	msg.Suspects = nextSuspects(suspects, msg.Sequence)
 	raw, err := msg.Encode()
 	if err != nil || len(raw) > maxMessageBytes {
 		n.refused.Add(1)
@@ -102,14 +99,3 @@
 		n.transmit(raw, a)
 	}
 }
-
-// nextSuspects returns the suspects that a message carries. Successive messages
-// carry different ones.
-func nextSuspects(list []pool.Suspect, sequence uint64) []pool.Suspect {
-	if len(list) <= maxSuspects {
-		return list
-	}
-	chunks := (len(list) + maxSuspects - 1) / maxSuspects
-	first := int(sequence%uint64(chunks)) * maxSuspects
-	return list[first:min(first+maxSuspects, len(list))]
-}
--- /dev/null
+++ b/gossip/suspects.go
@@ -0,0 +1,73 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"mulberrydyke/clock"
+	"mulberrydyke/quarantine"
+)
+
+const (
+	// headlineInterval is the minimum time between two calls of sendHeadlines.
+	headlineInterval = 50 * time.Millisecond
+	// reminderRounds is the number of rounds from one reminder of the requests in
+	// quarantine to the next.
+	reminderRounds = 2
+)
+
+// runHeadlines tells other hosts of new suspects as soon as there are any, until ctx
+// ends.
+func (n *Node) runHeadlines(ctx context.Context) {
+	for {
+		select {
+		case <-n.Quarantine.Changed():
+			n.sendHeadlines(n.Now())
+			clock.Sleep(ctx, headlineInterval)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sendHeadlines tells all live hosts of the group, and those that a speaker or a
+// reporter speaks to, of what they have not been told yet. Hosts that speak for nobody
+// leave it to the others to pass on at once what they were told.
+func (n *Node) sendHeadlines(now time.Time) {
+	n.mu.Lock()
+	role, targets := n.role, n.members.SuspectTargets(now, addresses(n.members.liveInGroup(now)))
+	n.mu.Unlock()
+	for _, suspects := range n.Quarantine.Headlines(now, role < RoleSpeaker) {
+		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
+	}
+}
+
+// tellSuspects tells some hosts of the group, and those that a speaker or a reporter
+// speaks to, of suspects that they may not know. If there is nothing new, it reminds
+// them of the requests in quarantine from time to time.
+func (n *Node) tellSuspects(now time.Time, group []netip.Addr) {
+	n.mu.Lock()
+	n.suspectRounds++
+	remind := n.suspectRounds%reminderRounds == 0
+	targets := n.members.SuspectTargets(now, group)
+	n.mu.Unlock()
+	for _, suspects := range n.Quarantine.News(now) {
+		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
+	}
+	if !remind {
+		return
+	}
+	if suspects := n.Quarantine.Reminders(now); len(suspects) > 0 {
+		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
+	}
+}
+
+// keysOf returns the keys of suspects, for the log.
+func keysOf(suspects []quarantine.Suspect) []uint64 {
+	out := make([]uint64, 0, len(suspects))
+	for _, s := range suspects {
+		out = append(out, uint64(s.Key))
+	}
+	return out
+}
--- a/gossip/targets.go
+++ b/gossip/targets.go
@@ -50,6 +50,21 @@
 	return t
 }
 
+// SuspectTargets returns the recipients of suspects: the given hosts of the group, the
+// speakers of the other groups if this host is a speaker, and the reporters of the other
+// domains if it is a reporter. Unlike those of reports they don't take turns.
+func (m *Members) SuspectTargets(now time.Time, group []netip.Addr) []netip.Addr {
+	out := slices.Clone(group)
+	role := m.Role(now)
+	if role >= RoleSpeaker {
+		out = append(out, m.speakersOfOtherGroups(now)...)
+	}
+	if role == RoleReporter {
+		out = append(out, m.reportersOfOtherDomains(now)...)
+	}
+	return out
+}
+
 // nextInGroup returns the next live hosts of the group in turn, or all of them.
 func (m *Members) nextInGroup(live []*member, all bool) []netip.Addr {
 	n := min(len(live), fanout)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -11,7 +11,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"mulberrydyke/call"
-	"mulberrydyke/pool"
 	"mulberrydyke/route"
 )
 
@@ -19,95 +18,191 @@
 	// Duration is how long a request is refused after its second crash. It is
 	// far longer than an upstream takes to restart.
 	Duration = time.Minute
-	// maxSharedSuspects bounds the suspects that a host sends in one message.
-	maxSharedSuspects = 16
+	// crashLimit is the number of crashes from which a request is refused.
+	crashLimit = 2
+	// suspectTTL is how long a suspect is kept after its first crash.
+	suspectTTL = 10 * time.Minute
+	// maxSuspects bounds the suspects that a host keeps.
+	maxSuspects = 4096
 )
 
-// Table records the content hashes of requests that were running on upstreams
-// when these crashed. It is safe for concurrent use.
+// Key identifies the content of a request by a hash. Zero means unknown.
+type Key uint64
+
+// CrashID identifies the crash of one process of an upstream by a hash.
+type CrashID uint64
+
+// crashOf returns the ID of the crash of an upstream's present process.
+func crashOf(u *route.Upstream) CrashID {
+	return CrashID(route.Hash(string(u.ID), u.StartedAt.UTC().Format(time.RFC3339Nano)))
+}
+
+// observedCrash is a crash and when it happened.
+type observedCrash struct {
+	id CrashID
+	at time.Time
+}
+
+// suspect is what a host knows of a key that was running on upstreams when they
+// crashed.
+type suspect struct {
+	// crashes holds one to crashLimit crashes, ordered by time, without duplicates.
+	crashes []observedCrash
+	news    news
+}
+
+// lastCrash returns when the last known crash happened.
+func (s *suspect) lastCrash() time.Time { return s.crashes[len(s.crashes)-1].at }
+
+// quarantined reports whether requests are refused until the suspect expires.
+func (s *suspect) quarantined() bool { return len(s.crashes) >= crashLimit }
+
+// expires returns when the suspect is forgotten.
+func (s *suspect) expires() time.Time {
+	if s.quarantined() {
+		return s.lastCrash().Add(Duration)
+	}
+	return s.lastCrash().Add(suspectTTL)
+}
+
+// add adds a crash. It reports whether the crash was not known yet.
+func (s *suspect) add(c observedCrash) bool {
+	known := slices.ContainsFunc(s.crashes, func(o observedCrash) bool { return o.id == c.id })
+	if known || len(s.crashes) >= crashLimit {
+		return false
+	}
+	s.crashes = append(s.crashes, c)
+	slices.SortFunc(s.crashes, func(a, b observedCrash) int { return a.at.Compare(b.at) })
+	return true
+}
+
+// Table holds the requests that were running on upstreams when these crashed. It is
+// safe for concurrent use.
 type Table struct {
 	mu       sync.Mutex
-	suspects *pool.Suspects
+	suspects map[Key]*suspect
+	// hasNews is set while other hosts may not have been told of all suspects.
+	hasNews bool
+	// cursor is the position of the last call of Reminders.
+	cursor  int
+	changed chan struct{}
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{suspects: pool.NewSuspects()} }
+func NewTable() *Table {
+	return &Table{suspects: map[Key]*suspect{}, changed: make(chan struct{}, 1)}
+}
 
-// HashRequest returns the content hash of a request. Requests from one caller
-// with the same method, host, target and body have the same hash. It is never
-// zero, since zero means unknown content.
-func HashRequest(r *call.Request) pool.ContentHash {
+// KeyOf returns the key of a request. Requests from one caller with the same method,
+// host, target and body have the same key. It is never zero.
+func KeyOf(r *call.Request) Key {
 	d := xxhash.New()
 	for _, field := range []string{r.APIKey, r.Method, r.Host, r.Target} {
 		_, _ = d.WriteString(field)
 		_, _ = d.Write([]byte{0})
 	}
 	_, _ = d.Write(r.Body)
-	return pool.ContentHash(d.Sum64() | 1)
+	return Key(d.Sum64() | 1)
 }
 
-// Empty reports whether there are no suspects. Callers then need not compute
-// content hashes.
+// Empty reports whether there are no suspects. Callers then need not compute keys.
 func (t *Table) Empty() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects.Empty()
+	return len(t.suspects) == 0
 }
 
-// RecordCrash records that an upstream crashed while it was running a request.
-func (t *Table) RecordCrash(now time.Time, c pool.ContentHash, u *route.Upstream) {
+// Counts returns the number of suspects, and how many of them are in quarantine.
+func (t *Table) Counts(now time.Time) (suspects, quarantined int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	crash := pool.Crash{Upstream: u.ID, Instance: pool.Instance(u.StartedAt.UTC().Format(time.RFC3339Nano))}
-	t.suspects.RecordCrash(now, c, crash, Duration)
+	t.expire(now)
+	for _, s := range t.suspects {
+		if s.quarantined() {
+			quarantined++
+		}
+	}
+	return len(t.suspects), quarantined
 }
 
-// RecordFinished records that a request finished without crashing its upstream. It
-// is then no longer a suspect, unless it is in quarantine.
-func (t *Table) RecordFinished(now time.Time, c pool.ContentHash) {
+// RecordCrash records that an upstream crashed while it was running a request.
+func (t *Table) RecordCrash(now time.Time, k Key, u *route.Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.suspects.IsSuspect(now, c) {
-		t.suspects.RecordFinished(c)
+	t.add(now, k, observedCrash{id: crashOf(u), at: now}, true)
+}
+
+// add adds a crash that this host observed itself or was told of. It reports whether
+// the crash was not known yet. t.mu must be held.
+func (t *Table) add(now time.Time, k Key, c observedCrash, observed bool) bool {
+	s := t.suspects[k]
+	if s != nil && !now.Before(s.expires()) {
+		delete(t.suspects, k)
+		s = nil
+	}
+	if s == nil {
+		if len(t.suspects) >= maxSuspects {
+			t.makeRoom(now)
+		}
+		s = &suspect{}
+		t.suspects[k] = s
+	}
+	if !s.add(c) {
+		return false
+	}
+	s.news = news{since: now, observed: observed}
+	t.hasNews = true
+	select {
+	case t.changed <- struct{}{}:
+	default:
 	}
+	return true
 }
 
-// QuarantineLeft returns how long a request stays in quarantine, or zero if it is
-// not.
-func (t *Table) QuarantineLeft(now time.Time, c pool.ContentHash) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.suspects.QuarantineLeft(now, c)
+// makeRoom removes a suspect: an expired one, else the one whose last crash is longest
+// ago, of those with the fewest crashes.
+func (t *Table) makeRoom(now time.Time) {
+	t.expire(now)
+	if len(t.suspects) < maxSuspects {
+		return
+	}
+	var oldest Key
+	for k, s := range t.suspects {
+		o := t.suspects[oldest]
+		if o == nil || len(s.crashes) < len(o.crashes) || len(s.crashes) == len(o.crashes) && s.lastCrash().Before(o.lastCrash()) {
+			oldest = k
+		}
+	}
+	delete(t.suspects, oldest)
 }
 
-// Counts returns the number of suspects, and how many of them are in quarantine.
-func (t *Table) Counts(now time.Time) (suspects, quarantined int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, s := range t.suspects.List(now) {
-		suspects++
-		if t.suspects.QuarantineLeft(now, s.Content) > 0 {
-			quarantined++
+// expire deletes the suspects whose time has passed. t.mu must be held.
+func (t *Table) expire(now time.Time) {
+	for k, s := range t.suspects {
+		if !now.Before(s.expires()) {
+			delete(t.suspects, k)
 		}
 	}
-	return suspects, quarantined
 }
 
-// SuspectsToShare returns up to maxSharedSuspects suspects to send to other
-// hosts, those in quarantine first.
-func (t *Table) SuspectsToShare(now time.Time) []pool.Suspect {
+// RecordFinished records that a request finished without crashing its upstream. It
+// is then no longer a suspect, unless it is in quarantine.
+func (t *Table) RecordFinished(k Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.suspects.Expire(now)
-	list := t.suspects.List(now)
-	slices.SortStableFunc(list, func(a, b pool.Suspect) int { return len(b.Crashes) - len(a.Crashes) })
-	return list[:min(maxSharedSuspects, len(list))]
+	if s := t.suspects[k]; s != nil && !s.quarantined() {
+		delete(t.suspects, k)
+	}
 }
 
-// Merge adds the suspects reported by another host. It reports whether any
-// crash was new.
-func (t *Table) Merge(now time.Time, list []pool.Suspect) bool {
+// QuarantineLeft returns how long a request stays in quarantine, or zero if it is
+// not.
+func (t *Table) QuarantineLeft(now time.Time, k Key) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.suspects.Merge(now, list, Duration)
+	s := t.suspects[k]
+	if s == nil || !s.quarantined() {
+		return 0
+	}
+	return max(0, s.expires().Sub(now))
 }
