Count the crash of an attempt before the next one

Callers saw: a request that had crashed one upstream before, and crashed another, was sent to a third at once, whose other requests broke off too.

Cause: a crash is recorded once a new connection is refused, which a goroutine finds out while the request is sent on. Evidence: TestRetryWaitsForNewsOfTheCrash failed on this code (2 upstreams crashed, want 1). Now the next attempt waits for that answer, a network round trip if the upstream's process has ended; the answer to a caller whose request is not sent again does not wait.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,6 +67,9 @@
 	longestGap  time.Duration
 	lastEventAt time.Time
 	cause       string
+	// crashChecked is closed when it is known whether the last attempt crashed its
+	// upstream. It is nil if there is no reason to think so.
+	crashChecked <-chan struct{}
 	// lease is the lease of the last attempt, or nil.
 	lease *dispatch.Lease
 }
@@ -118,6 +121,7 @@
 	if !x.reroute() {
 		return x.refuse(0, "the route was withdrawn")
 	}
+	x.awaitCrashCheck(ctx)
 	if left := x.quarantineLeft(); left > 0 {
 		x.retryAfter = left
 		return x.refuse(0, "a request like this crashed upstreams")
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -36,7 +36,24 @@
 	if result != dispatch.Broken || !errors.As(err, &exchangeErr) || !exchangeErr.ClosedByUpstream() {
 		return
 	}
-	go x.server.recordIfCrashed(lease.Upstream, quarantine.KeyOf(x.request), string(x.request.ID))
+	checked := make(chan struct{})
+	x.crashChecked = checked
+	go func() {
+		defer close(checked)
+		x.server.recordIfCrashed(lease.Upstream, quarantine.KeyOf(x.request), string(x.request.ID))
+	}()
+}
+
+// awaitCrashCheck waits until it is known whether the last attempt crashed its
+// upstream, so that a crash counts before the request is sent to another one.
+func (x *exchange) awaitCrashCheck(ctx context.Context) {
+	if x.crashChecked == nil {
+		return
+	}
+	select {
+	case <-x.crashChecked:
+	case <-ctx.Done():
+	}
 }
 
 // recordIfCrashed records a crash if the upstream accepts no new connection.
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -5,7 +5,10 @@
 	"testing"
 	"time"
 
+	"mulberrydyke/call"
 	"mulberrydyke/plan"
+	"mulberrydyke/quarantine"
+	"mulberrydyke/route"
 )
 
 // crashOnDeadlyBody simulates a process that crashes on the body "deadly": it
@@ -102,3 +105,18 @@
 		t.Error("the working upstream received no request")
 	}
 }
+
+// TestRetryWaitsForNewsOfTheCrash guards against a request that has crashed an upstream
+// before, crashes another one, and is sent to a third before that crash counts.
+func TestRetryWaitsForNewsOfTheCrash(t *testing.T) {
+	for range 20 {
+		stubs := []*stub{newCrashingStub(t, "u1"), newCrashingStub(t, "u2"), newCrashingStub(t, "u3")}
+		f := newFixture(t, stubs...)
+		k := quarantine.KeyOf(&call.Request{APIKey: "key", Method: "POST", Host: f.frontend.Listener.Addr().String(), Target: "/status/", Body: []byte("deadly")})
+		f.server.Quarantine.RecordCrash(time.Now(), k, &route.Upstream{ID: "u0"})
+		f.post("/status/", "deadly")
+		if n := countCrashes(stubs); n != 1 {
+			t.Fatalf("%d upstreams crashed, want 1", n)
+		}
+	}
+}
