Try a quarantined request again at one host after the other

Callers saw: a request that went on coming crashed upstreams again when its minute in quarantine was over, one for each host that had it then, and its earlier crashes were forgotten, so that it took two more to refuse it.

Change: crashes are kept for 20 minutes, a single one counts after the quarantine, and each crash lengthens it by a minute. The hosts' turns to try again are spread over a minute by a hash of host and request, which is far longer than the news of a crash takes. The request of a host that finishes is no suspect there any more, as before.

Two checks of how long a request is refused now allow for the turn of the host.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -115,7 +115,7 @@
 	h.connPools = connPools
 	h.cleanups = append(h.cleanups, cleanup)
 	h.retryBudget = gateway.NewRetryBudget(s.Bounds, h.budgetHostCount, h.balancer)
-	h.quarantine = quarantine.NewTable()
+	h.quarantine = quarantine.NewTable(s.ID)
 	h.gateway = gateway.NewServer(gateway.Options{
 		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine,
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -28,7 +28,7 @@
 	table := x.server.Quarantine
 	if result == dispatch.Done {
 		if !table.Empty() {
-			table.RecordFinished(quarantine.KeyOf(x.request))
+			table.RecordFinished(x.server.Now(), quarantine.KeyOf(x.request))
 		}
 		return
 	}
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -43,7 +43,7 @@
 
 // Valid reports whether a suspect that was received makes sense.
 func (s *Suspect) Valid() bool {
-	if s.Key == 0 || len(s.Crashes) == 0 || len(s.Crashes) > crashLimit {
+	if s.Key == 0 || len(s.Crashes) == 0 || len(s.Crashes) > maxCrashes {
 		return false
 	}
 	return !slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.AgeMillis < 0 || c.AgeMillis > suspectTTL.Milliseconds() })
@@ -142,8 +142,8 @@
 	defer t.mu.Unlock()
 	t.expire(now)
 	var keys []Key
-	for k, s := range t.suspects {
-		if s.quarantined() {
+	for k := range t.suspects {
+		if t.left(now, k) > 0 {
 			keys = append(keys, k)
 		}
 	}
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -5,23 +5,32 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"mulberrydyke/call"
+	"mulberrydyke/plan"
 	"mulberrydyke/route"
 )
 
 const (
-	// Duration is how long a request is refused after its second crash. It is
-	// far longer than an upstream takes to restart.
+	// Duration is how long a request is refused at least after its second crash, and
+	// how much longer after each further one. It is far longer than an upstream takes to
+	// restart.
 	Duration = time.Minute
+	// trialSpread is the time over which hosts try a request again, one after the
+	// other. The news of a crash spreads in a small part of it, so that a trial costs
+	// one upstream, not one for each host.
+	trialSpread = time.Minute
 	// crashLimit is the number of crashes from which a request is refused.
 	crashLimit = 2
-	// suspectTTL is how long a suspect is kept after its first crash.
-	suspectTTL = 10 * time.Minute
+	// maxCrashes bounds the crashes that are kept of a suspect.
+	maxCrashes = 8
+	// suspectTTL is how long a suspect is kept after its last crash.
+	suspectTTL = 20 * time.Minute
 	// maxSuspects bounds the suspects that a host keeps.
 	maxSuspects = 4096
 )
@@ -46,7 +55,7 @@
 // suspect is what a host knows of a key that was running on upstreams when they
 // crashed.
 type suspect struct {
-	// crashes holds one to crashLimit crashes, ordered by time, without duplicates.
+	// crashes holds one to maxCrashes crashes, ordered by time, without duplicates.
 	crashes []observedCrash
 	news    news
 }
@@ -54,31 +63,34 @@
 // lastCrash returns when the last known crash happened.
 func (s *suspect) lastCrash() time.Time { return s.crashes[len(s.crashes)-1].at }
 
-// quarantined reports whether requests are refused until the suspect expires.
-func (s *suspect) quarantined() bool { return len(s.crashes) >= crashLimit }
-
-// expires returns when the suspect is forgotten.
-func (s *suspect) expires() time.Time {
-	if s.quarantined() {
-		return s.lastCrash().Add(Duration)
+// quarantineEnd returns when the first host may try the request again. It is zero if the
+// request is not in quarantine.
+func (s *suspect) quarantineEnd() time.Time {
+	if len(s.crashes) < crashLimit {
+		return time.Time{}
 	}
-	return s.lastCrash().Add(suspectTTL)
+	return s.lastCrash().Add(time.Duration(len(s.crashes)-crashLimit+1) * Duration)
 }
 
+// expires returns when the suspect is forgotten.
+func (s *suspect) expires() time.Time { return s.lastCrash().Add(suspectTTL) }
+
 // add adds a crash. It reports whether the crash was not known yet.
 func (s *suspect) add(c observedCrash) bool {
 	known := slices.ContainsFunc(s.crashes, func(o observedCrash) bool { return o.id == c.id })
-	if known || len(s.crashes) >= crashLimit {
+	if known || len(s.crashes) >= maxCrashes && !c.at.After(s.crashes[0].at) {
 		return false
 	}
 	s.crashes = append(s.crashes, c)
 	slices.SortFunc(s.crashes, func(a, b observedCrash) int { return a.at.Compare(b.at) })
+	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
 	return true
 }
 
 // Table holds the requests that were running on upstreams when these crashed. It is
 // safe for concurrent use.
 type Table struct {
+	host     plan.HostID
 	mu       sync.Mutex
 	suspects map[Key]*suspect
 	// hasNews is set while other hosts may not have been told of all suspects.
@@ -88,9 +100,9 @@
 	changed chan struct{}
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{suspects: map[Key]*suspect{}, changed: make(chan struct{}, 1)}
+// NewTable returns the empty table of a host.
+func NewTable(host plan.HostID) *Table {
+	return &Table{host: host, suspects: map[Key]*suspect{}, changed: make(chan struct{}, 1)}
 }
 
 // KeyOf returns the key of a request. Requests from one caller with the same method,
@@ -117,8 +129,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	for _, s := range t.suspects {
-		if s.quarantined() {
+	for k := range t.suspects {
+		if t.left(now, k) > 0 {
 			quarantined++
 		}
 	}
@@ -187,22 +199,29 @@
 
 // RecordFinished records that a request finished without crashing its upstream. It
 // is then no longer a suspect, unless it is in quarantine.
-func (t *Table) RecordFinished(k Key) {
+func (t *Table) RecordFinished(now time.Time, k Key) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.suspects[k]; s != nil && !s.quarantined() {
+	if s := t.suspects[k]; s != nil && t.left(now, k) == 0 {
 		delete(t.suspects, k)
 	}
 }
 
-// QuarantineLeft returns how long a request stays in quarantine, or zero if it is
-// not.
+// QuarantineLeft returns how long a request stays in quarantine at this host, or zero if
+// it is not.
 func (t *Table) QuarantineLeft(now time.Time, k Key) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.left(now, k)
+}
+
+// left returns how long a key stays in quarantine at this host. t.mu must be held.
+func (t *Table) left(now time.Time, k Key) time.Duration {
 	s := t.suspects[k]
-	if s == nil || !s.quarantined() {
+	if s == nil || len(s.crashes) < crashLimit {
 		return 0
 	}
-	return max(0, s.expires().Sub(now))
+	turn := route.UnitFraction(route.Hash(string(t.host), strconv.FormatUint(uint64(k), 16)))
+	end := s.quarantineEnd().Add(time.Duration(turn * float64(trialSpread)))
+	return max(0, end.Sub(now))
 }
