Let a scheduler's full table of suspects take new crashes

TestFullTableTakesNewCrashes failed ("not quarantined after two crashes"). The suspect that expires first, of those with the fewest crashes, now makes room.

--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -74,7 +74,7 @@
 	entry := s.byContent[content]
 	if entry == nil {
 		if len(s.byContent) >= maxSuspects {
-			return
+			s.makeRoom()
 		}
 		entry = &suspectEntry{expires: now.Add(ttl)}
 		s.byContent[content] = entry
@@ -91,6 +91,18 @@
 	}
 }
 
+// makeRoom removes the suspect that expires first, of those with the fewest crashes.
+func (s *Suspects) makeRoom() {
+	var first ContentHash
+	for content, entry := range s.byContent {
+		o := s.byContent[first]
+		if o == nil || len(entry.crashes) < len(o.crashes) || len(entry.crashes) == len(o.crashes) && entry.expires.Before(o.expires) {
+			first = content
+		}
+	}
+	delete(s.byContent, first)
+}
+
 // Merge adds the suspects of another host. They expire no later than they do
 // there. Merge reports whether any crash was new.
 func (s *Suspects) Merge(now time.Time, other []Suspect, quarantine time.Duration) bool {
--- /dev/null
+++ b/pool/suspect_test.go
@@ -0,0 +1,26 @@
+package pool
+
+import (
+	"testing"
+	"time"
+)
+
+// TestFullTableTakesNewCrashes guards against a table that is full of old suspects and
+// so never counts the crashes of new content.
+func TestFullTableTakesNewCrashes(t *testing.T) {
+	s := NewSuspects()
+	for i := range maxSuspects {
+		s.RecordCrash(start, ContentHash(i+1), Crash{Upstream: "u1", Instance: "a"}, time.Minute)
+	}
+	deadly := ContentHash(maxSuspects + 1)
+	for i, instance := range []Instance{"b", "c"} {
+		now := start.Add(time.Duration(i) * time.Second)
+		s.RecordCrash(now, deadly, Crash{Upstream: "u1", Instance: instance}, time.Minute)
+	}
+	if s.QuarantineLeft(start.Add(time.Second), deadly) == 0 {
+		t.Error("not quarantined after two crashes")
+	}
+	if n := len(s.List(start)); n > maxSuspects {
+		t.Errorf("%d suspects, want at most %d", n, maxSuspects)
+	}
+}
