--- a/call/call.go
+++ b/call/call.go
@@ -43,6 +43,16 @@
 	return p.Parts[len(p.Parts)-2].ID
 }
 
+// SharedPartIDs returns the IDs of the parts that other requests may share: all but
+// the last.
+func (p *Prompt) SharedPartIDs() []string {
+	var out []string
+	for i := range max(0, len(p.Parts)-1) {
+		out = append(out, p.Parts[i].ID)
+	}
+	return out
+}
+
 // UnsharedTokens returns the number of tokens of the last part, or of the whole
 // prompt if it has no parts.
 func (p *Prompt) UnsharedTokens() int {
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/link"
 	"mulberrydyke/quarantine"
@@ -40,7 +41,7 @@
 	x.crashChecked = checked
 	go func() {
 		defer close(checked)
-		x.server.recordIfCrashed(lease.Upstream, quarantine.KeyOf(x.request), string(x.request.ID))
+		x.server.recordIfCrashed(lease.Upstream, x.request)
 	}()
 }
 
@@ -57,11 +58,12 @@
 }
 
 // recordIfCrashed records a crash if the upstream accepts no new connection.
-func (s *Server) recordIfCrashed(upstream *route.Upstream, content quarantine.Key, id string) {
+func (s *Server) recordIfCrashed(upstream *route.Upstream, r *call.Request) {
+	content := quarantine.KeyOf(r)
 	if !s.ConnPools.Get(upstream).Unreachable(context.Background(), s.Now()) {
 		return
 	}
 	s.Quarantine.RecordCrash(s.Now(), content, upstream)
-	s.Log.Info("upstream crashed", "id", id, "upstream", string(upstream.ID), "content", uint64(content),
-		"refused-for", s.Quarantine.QuarantineLeft(s.Now(), content))
+	s.Log.Info("upstream crashed", "id", string(r.ID), "upstream", string(upstream.ID), "content", uint64(content),
+		"refused-for", s.Quarantine.QuarantineLeft(s.Now(), content), "parts", r.Prompt.SharedPartIDs())
 }
