--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -238,10 +238,18 @@
 }
 
 func (f *fixture) do(ctx context.Context, method, path, body string) callerResponse {
+	return f.doPrompt(ctx, method, path, "", body)
+}
+
+// doPrompt sends a request whose prompt has the given parts, as ID:TOKENS.
+func (f *fixture) doPrompt(ctx context.Context, method, path, parts, body string) callerResponse {
 	r, err := http.NewRequestWithContext(ctx, method, f.frontend.URL+path, strings.NewReader(body))
 	if err != nil {
 		return callerResponse{err: err}
 	}
+	if parts != "" {
+		r.Header.Set("Prompt-Prefix", parts)
+	}
 	r.Header.Set("Request-Id", "id-1")
 	r.Header.Set("Authorization", "Bearer key")
 	r.Header.Set("Deadline-Ms", "4000")
@@ -261,3 +269,7 @@
 func (f *fixture) post(path, body string) callerResponse {
 	return f.do(context.Background(), http.MethodPost, path, body)
 }
+
+func (f *fixture) postPrompt(path, parts, body string) callerResponse {
+	return f.doPrompt(context.Background(), http.MethodPost, path, parts, body)
+}
--- a/gateway/suspect_test.go
+++ b/gateway/suspect_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -120,3 +122,65 @@
 		}
 	}
 }
+
+// crashOnPart returns a stub that crashes on prompts with the part "bad" once it has sent
+// the head of its response.
+func crashOnPart(t *testing.T, id plan.UpstreamID) *stub {
+	t.Helper()
+	listener := new(net.Listener)
+	u := newStub(t, id, func(conn net.Conn, r receivedRequest) bool {
+		if !strings.Contains(r.Header.Get("Prompt-Prefix"), "bad:") {
+			return respondStream(1, 3)(conn, r)
+		}
+		writeStreamHeader(conn, r)
+		_ = (*listener).Close()
+		return false
+	})
+	*listener = u.listener
+	return u
+}
+
+// TestPromptPartThatCrashesUpstreamsIsQuarantined guards against requests that are all
+// different but for one part of their prompts, and crash each upstream that begins to
+// answer them. They must be refused after five crashes at the most, and the requests
+// that share the caller and the other parts must be served throughout.
+func TestPromptPartThatCrashesUpstreamsIsQuarantined(t *testing.T) {
+	var stubs []*stub
+	for i := range 12 {
+		stubs = append(stubs, crashOnPart(t, plan.UpstreamID(fmt.Sprintf("u%02d", i))))
+	}
+	f := newFixture(t, stubs...)
+	refused := 0
+	for i := range 100 {
+		bad := f.postPrompt("/draft/", fmt.Sprintf("rules:100,bad:10,own%d:5", i), fmt.Sprintf("bad %d", i))
+		if bad.status == 503 && bad.header.Get("Retry-After") != "" {
+			refused++
+		}
+		for _, parts := range []string{"rules:100,fine:10", "rules:100"} {
+			sound := f.postPrompt("/draft/", fmt.Sprintf("%s,own%d:5", parts, i), fmt.Sprintf("sound %d", i))
+			if sound.status != 200 || sound.err != nil {
+				t.Fatalf("sound request %d: status %d, error %v, body %q", i, sound.status, sound.err, sound.body)
+			}
+		}
+		time.Sleep(15 * time.Millisecond)
+	}
+	if refused < 50 {
+		t.Errorf("%d of 100 requests with the part refused", refused)
+	}
+	if n := countPart(stubs, "bad:"); n > 5 {
+		t.Errorf("%d upstreams crashed, want at most 5", n)
+	}
+}
+
+// countPart returns how many requests with a part of a prompt reached upstreams.
+func countPart(stubs []*stub, part string) int {
+	n := 0
+	for _, u := range stubs {
+		for _, r := range u.requests() {
+			if strings.Contains(r.Header.Get("Prompt-Prefix"), part) {
+				n++
+			}
+		}
+	}
+	return n
+}
