Blame a part of a prompt for the crashes that it explains

Cause: crashes were counted by the content of the requests, and these were all different. What they had in common was not recorded. Besides, each request that only ran beside the cause was as much a suspect, and two crashes had it refused.

Change: crashes are counted by trait, which is the content of a request or a part of its prompt that others may share. A crash has one cause: the trait with the most crashes is blamed, and the crashes that it explains don't count against the others. A trait is cleared of older crashes when a request with it finishes, or streams on for a second, at any host; that is told like the crashes. So the parts and the caller that sound requests share with the cause stay served. Parts of a stream that had gone on for a second when its upstream ended are no suspects, as requests crash upstreams when they begin to run. An answer that ends with its connection clears its request only if the upstream still accepts connections.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,8 +67,13 @@
 	longestGap  time.Duration
 	lastEventAt time.Time
 	cause       string
+	// attemptFirstEvent is when the first event of the last attempt arrived, or zero.
+	// soundNotedAt is when it was last recorded that its stream goes on.
+	attemptFirstEvent, soundNotedAt time.Time
+	// endedWithConn is set if the last answer had neither a length nor chunks.
+	endedWithConn bool
 	// crashChecked is closed when it is known whether the last attempt crashed its
-	// upstream. It is nil if there is no reason to think so.
+	// upstream. It is nil if nothing suggests that it did.
 	crashChecked <-chan struct{}
 	// lease is the lease of the last attempt, or nil.
 	lease *dispatch.Lease
@@ -200,12 +205,14 @@
 		Urgency: x.urgency(lease.Class), LastEventID: x.lastEventID,
 	})
 	x.sends++
+	x.attemptFirstEvent, x.crashChecked = time.Time{}, nil
 	upstreamEx, err := conn.Send(ctx, server.Dialect, x.request, header, x.headerDeadline(now, lease))
 	if err != nil {
 		x.possibleRuns++
 		x.endAttempt(ctx, lease, dispatch.Broken, err)
 		return attemptMayHaveRun
 	}
+	x.endedWithConn = upstreamEx.EndsWithConn()
 	head := upstreamEx.Head
 	if head.NotExecuted {
 		x.discardBody(upstreamEx, lease)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -32,9 +32,12 @@
 			x.endAttempt(ctx, lease, dispatch.Broken, upstreamEx.BodyError(err))
 			return x.afterInterruption(ctx)
 		}
+		now := x.server.Now()
 		if first {
-			x.server.Balancer.RecordFirstEvent(x.server.Now(), lease)
+			x.attemptFirstEvent = now
+			x.server.Balancer.RecordFirstEvent(now, lease)
 		}
+		x.noteProgress(now)
 		if !x.writeEvent(upstreamEx, e) {
 			upstreamEx.Close()
 			x.cause = "caller disconnected"
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -12,36 +12,91 @@
 	"mulberrydyke/route"
 )
 
-// quarantineLeft returns how long requests with this content are still
-// refused, or zero.
+const (
+	// soundAfter is how long a stream goes on after its first event until it counts as
+	// sound. A request that crashes its upstream does so when it begins to run.
+	soundAfter = time.Second
+	// soundInterval is the minimum time between two records of a sound stream.
+	soundInterval = 500 * time.Millisecond
+)
+
+// quarantineLeft returns for how long requests like this are still refused, or zero.
 func (x *exchange) quarantineLeft() time.Duration {
 	table := x.server.Quarantine
 	if table.Empty() {
 		return 0
 	}
-	return table.QuarantineLeft(x.server.Now(), quarantine.KeyOf(x.request))
+	return table.QuarantineLeft(x.server.Now(), quarantine.TraitsOf(x.request))
 }
 
-// updateQuarantine records what the result of an attempt tells about the request's
-// content. A completed run clears it of suspicion. If the upstream closed the
-// connection, a new connection is tried to find out whether it has crashed.
+// updateQuarantine records what the result of an attempt tells about the request. A
+// completed run clears it of suspicion. If the upstream closed the connection, a new
+// connection is tried to find out whether it has crashed.
 func (x *exchange) updateQuarantine(lease *dispatch.Lease, result dispatch.Result, err error) {
-	table := x.server.Quarantine
 	if result == dispatch.Done {
-		if !table.Empty() {
-			table.RecordFinished(x.server.Now(), quarantine.KeyOf(x.request))
-		}
+		x.recordFinished(lease)
 		return
 	}
 	var exchangeErr *link.ExchangeError
 	if result != dispatch.Broken || !errors.As(err, &exchangeErr) || !exchangeErr.ClosedByUpstream() {
 		return
 	}
+	x.checkForCrash(lease, func() {})
+}
+
+// recordFinished records that a run was complete. If the answer ended with its
+// connection, an upstream that has crashed may look the same.
+func (x *exchange) recordFinished(lease *dispatch.Lease) {
+	recordSound := func() { x.server.recordSound(x.request) }
+	switch {
+	case !x.endedWithConn:
+		recordSound()
+	case !x.server.Quarantine.Empty():
+		x.checkForCrash(lease, recordSound)
+	}
+}
+
+// recordSound records that a request did not crash its upstream.
+func (s *Server) recordSound(r *call.Request) {
+	traits := quarantine.PartsOf(r)
+	if !s.Quarantine.Empty() {
+		traits = append(traits, quarantine.ContentOf(r))
+	}
+	s.Quarantine.RecordSound(s.Now(), traits)
+}
+
+// noteProgress records from time to time that a stream is sound.
+func (x *exchange) noteProgress(now time.Time) {
+	if !x.goesOn(now) || now.Sub(x.soundNotedAt) < soundInterval {
+		return
+	}
+	x.soundNotedAt = now
+	x.server.Quarantine.RecordSound(now, quarantine.PartsOf(x.request))
+}
+
+// goesOn reports whether the stream of this attempt has gone on for so long that the
+// request is not what crashes its upstream.
+func (x *exchange) goesOn(now time.Time) bool {
+	return !x.attemptFirstEvent.IsZero() && now.Sub(x.attemptFirstEvent) >= soundAfter
+}
+
+// checkForCrash finds out whether the upstream of an attempt has crashed: then it accepts
+// no new connection. If it has, the crash is recorded, else otherwise is called. Parts
+// of the prompt are not suspects if the stream had gone on for long.
+func (x *exchange) checkForCrash(lease *dispatch.Lease, otherwise func()) {
+	traits := quarantine.TraitsOf(x.request)
+	if x.goesOn(x.server.Now()) {
+		traits = []quarantine.Trait{quarantine.ContentOf(x.request)}
+	}
 	checked := make(chan struct{})
 	x.crashChecked = checked
 	go func() {
 		defer close(checked)
-		x.server.recordIfCrashed(lease.Upstream, x.request)
+		if x.server.ConnPools.Get(lease.Upstream).Unreachable(context.Background(), x.server.Now()) {
+			x.server.recordCrash(lease.Upstream, x.request, traits)
+			return
+		}
+		otherwise()
 	}()
 }
 
@@ -57,13 +112,10 @@
 	}
 }
 
-// recordIfCrashed records a crash if the upstream accepts no new connection.
-func (s *Server) recordIfCrashed(upstream *route.Upstream, r *call.Request) {
-	content := quarantine.KeyOf(r)
-	if !s.ConnPools.Get(upstream).Unreachable(context.Background(), s.Now()) {
-		return
-	}
-	s.Quarantine.RecordCrash(s.Now(), content, upstream)
-	s.Log.Info("upstream crashed", "id", string(r.ID), "upstream", string(upstream.ID), "content", uint64(content),
-		"refused-for", s.Quarantine.QuarantineLeft(s.Now(), content), "parts", r.Prompt.SharedPartIDs())
+// recordCrash records that an upstream crashed while it was running a request.
+func (s *Server) recordCrash(upstream *route.Upstream, r *call.Request, traits []quarantine.Trait) {
+	now := s.Now()
+	s.Quarantine.RecordCrash(now, traits, upstream)
+	s.Log.Info("upstream crashed", "id", string(r.ID), "upstream", string(upstream.ID), "content", uint64(quarantine.ContentOf(r).Key),
+		"refused-for", s.Quarantine.QuarantineLeft(now, traits), "suspect-parts", len(traits)-1, "parts", r.Prompt.SharedPartIDs())
 }
--- /dev/null
+++ b/gossip/crashpart_test.go
@@ -0,0 +1,127 @@
+package gossip
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"mulberrydyke/call"
+	"mulberrydyke/quarantine"
+	"mulberrydyke/route"
+)
+
+// simEngine is an engine of a simFleet that crashes soon after it begins to answer a
+// prompt with the part "bad".
+type simEngine struct {
+	runs    []simRun
+	starts  int
+	downFor time.Duration
+}
+
+type simRun struct {
+	host       *simHost
+	request    *call.Request
+	begin, end time.Time
+	bad        bool
+}
+
+// crashDay sends sound and bad requests to random hosts and engines of a fleet.
+type crashDay struct {
+	*simFleet
+	engines []*simEngine
+	crashes int
+	// fifthCrash is when the fifth engine crashed.
+	fifthCrash time.Time
+	// lateBad counts the bad requests sent over knowsWithin after fifthCrash. sound and
+	// refused count the sound ones, and those of them that were refused.
+	lateBad, sound, refused int
+}
+
+// step sends the requests of one step and lets the engines run.
+func (d *crashDay) step(soundPerSecond, badPerSecond float64) {
+	for _, e := range d.engines {
+		d.runEngine(e)
+	}
+	if d.random.Float64() < soundPerSecond*simStep.Seconds() {
+		d.send(fmt.Sprintf("subject%d", d.random.IntN(8)), false)
+	}
+	if d.random.Float64() < badPerSecond*simStep.Seconds() {
+		d.send("bad", true)
+	}
+}
+
+func (d *crashDay) send(part string, bad bool) {
+	h, e := d.hosts[d.random.IntN(len(d.hosts))], d.engines[d.random.IntN(len(d.engines))]
+	own := fmt.Sprint(d.random.Uint64())
+	r := &call.Request{Body: []byte(own), Prompt: call.Prompt{Parts: []call.PromptPart{{ID: "rules"}, {ID: part}, {ID: own}}}}
+	refused := h.Quarantine.QuarantineLeft(d.now, quarantine.TraitsOf(r)) > 0
+	if !bad {
+		d.sound++
+	}
+	if refused && !bad {
+		d.refused++
+	}
+	if refused || e.downFor > 0 {
+		return
+	}
+	if bad && !d.fifthCrash.IsZero() && d.now.Sub(d.fifthCrash) >= knowsWithin {
+		d.lateBad++
+	}
+	begin := d.now.Add(50 * time.Millisecond)
+	e.runs = append(e.runs, simRun{host: h, request: r, bad: bad, begin: begin, end: begin.Add(200*time.Millisecond + time.Duration(d.random.Int64N(int64(1200*time.Millisecond))))})
+}
+
+func (d *crashDay) runEngine(e *simEngine) {
+	e.downFor -= simStep
+	if slices.ContainsFunc(e.runs, func(r simRun) bool { return r.bad && d.now.Sub(r.begin) >= 80*time.Millisecond }) {
+		d.crash(e)
+		return
+	}
+	e.runs = slices.DeleteFunc(e.runs, func(r simRun) bool {
+		if done := !d.now.Before(r.end); !done {
+			return false
+		}
+		r.host.Quarantine.RecordSound(d.now, quarantine.TraitsOf(r.request))
+		return true
+	})
+}
+
+func (d *crashDay) crash(e *simEngine) {
+	e.starts++
+	u := &route.Upstream{ID: simUpstream(slices.Index(d.engines, e)), StartedAt: start.Add(time.Duration(e.starts) * time.Hour)}
+	for _, r := range e.runs {
+		r.host.Quarantine.RecordCrash(d.now, quarantine.TraitsOf(r.request), u)
+	}
+	e.runs, e.downFor = nil, 3*time.Second
+	if d.crashes++; d.crashes == 5 {
+		d.fifthCrash = d.now
+	}
+}
+
+// TestPartThatCrashesEnginesIsRefusedEverywhere guards against fleets that go on sending
+// requests with one part in their prompts that crashes engines, and against fleets that
+// refuse sound requests which share the other parts.
+func TestPartThatCrashesEnginesIsRefusedEverywhere(t *testing.T) {
+	for _, size := range []struct{ domains, hostsPerDomain, engines int }{{3, 2, 9}, {3, 3, 9}, {5, 20, 90}} {
+		t.Run(fmt.Sprintf("%d hosts", size.domains*size.hostsPerDomain), func(t *testing.T) {
+			d := &crashDay{simFleet: newSimFleet(t, size.domains, size.hostsPerDomain, 10, 0.05)}
+			for range size.engines {
+				d.engines = append(d.engines, &simEngine{})
+			}
+			soundPerSecond := 4 * float64(size.engines)
+			d.run(5*time.Second, func() { d.step(soundPerSecond, 0) })
+			d.run(20*time.Second, func() { d.step(soundPerSecond, 8) })
+			if d.fifthCrash.IsZero() && d.crashes < 3 {
+				t.Fatalf("only %d engines crashed", d.crashes)
+			}
+			if d.lateBad > 3 {
+				t.Errorf("%d bad requests were sent %v after the fifth crash, want at most 3", d.lateBad, knowsWithin)
+			}
+			if d.refused*20 > d.sound {
+				t.Errorf("%d of %d sound requests were refused", d.refused, d.sound)
+			}
+			t.Logf("%d engines crashed, %d bad requests late, %d of %d sound ones refused", d.crashes, d.lateBad, d.refused, d.sound)
+		})
+	}
+}
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -172,10 +172,15 @@
 	return &ExchangeError{Phase: "body", Err: x.contextCause(err)}
 }
 
+// EndsWithConn reports whether the response has neither a Content-Length nor a transfer
+// encoding, so that only the end of the connection marks its end.
+func (x *Exchange) EndsWithConn() bool {
+	return x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0
+}
+
 // Release returns the connection to the pool after the whole response was read. The
 // connection is closed instead if ctx has ended, if the request was not sent
-// completely, if the response has neither a Content-Length nor a transfer encoding,
-// so that only closing the connection marks its end, or if the pool already has
+// completely, if the response ends with its connection, or if the pool already has
 // maxIdle idle connections.
 func (x *Exchange) Release(p *Pool, now time.Time, maxIdle int) {
 	if !x.cancelClose() {
@@ -188,7 +193,7 @@
 		x.conn.Close()
 		return
 	}
-	if x.bodyErr != nil || x.Response.ContentLength < 0 && len(x.Response.TransferEncoding) == 0 {
+	if x.bodyErr != nil || x.EndsWithConn() {
 		x.conn.Close()
 		return
 	}
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -15,10 +15,13 @@
 	maxBatchBytes = 900
 	// suspectBytes and crashBytes are the largest encoded size of a suspect without
 	// its crashes, and of one crash.
-	suspectBytes = 12
+	suspectBytes = 20
 	crashBytes   = 16
 	// maxBatches bounds the messages that carry suspects at once.
 	maxBatches = 3
+	// contradictInterval is the minimum time between two times that a host tells of a
+	// sound suspect because others count older crashes against it.
+	contradictInterval = 300 * time.Millisecond
 	// minTimeLeft is the time for which a suspect must still be kept to be taken over
 	// from another host. Otherwise two hosts could keep reminding each other of one
 	// that either is about to forget.
@@ -27,8 +30,13 @@
 
 // Suspect is what a host tells others of a suspect.
 type Suspect struct {
-	_       struct{} `cbor:",toarray"`
-	Key     Key
+	_     struct{} `cbor:",toarray"`
+	Key   Key
+	Depth Depth
+	// SoundAgeMillis is the time since a request with the trait last did not crash its
+	// upstream, or zero if that is not known.
+	SoundAgeMillis int64
+	// Crashes are those since then.
 	Crashes []Crash
 }
 
@@ -43,7 +51,10 @@
 
 // Valid reports whether a suspect that was received makes sense.
 func (s *Suspect) Valid() bool {
-	if s.Key == 0 || len(s.Crashes) == 0 || len(s.Crashes) > maxCrashes {
+	if s.Key == 0 || s.Depth < 1 || s.Depth > contentDepth || s.SoundAgeMillis < 0 || len(s.Crashes) > maxCrashes {
+		return false
+	}
+	if len(s.Crashes) == 0 && s.SoundAgeMillis == 0 {
 		return false
 	}
 	return !slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.AgeMillis < 0 || c.AgeMillis > suspectTTL.Milliseconds() })
@@ -62,33 +73,66 @@
 // Changed returns a channel that signals that there is something new to tell.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
-// Merge adds the suspects that another host tells. It reports whether any crash was
-// new.
+// Merge adds the suspects that another host tells. It reports whether that changed what
+// is known of any crash.
 func (t *Table) Merge(now time.Time, list []Suspect) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	added := false
+	changed := false
 	for _, told := range list {
-		s := told.suspect(now)
-		if s.expires().Sub(now) < minTimeLeft {
+		other := told.suspect(now)
+		if other.expires().Sub(now) < minTimeLeft {
 			continue
 		}
-		for _, c := range s.crashes {
-			added = t.add(now, told.Key, c, false) || added
+		s := t.suspect(now, Trait{Key: told.Key, Depth: told.Depth})
+		switch {
+		case s.merge(other):
+			t.noteChange(now, s, false)
+			changed = true
+		case s.contradicts(other) && now.Sub(s.news.since) >= contradictInterval:
+			t.noteChange(now, s, true)
 		}
 	}
-	return added
+	return changed
+}
+
+// contradicts reports whether a request with the trait has been sound since a crash that
+// another host counts.
+func (s *suspect) contradicts(other suspect) bool {
+	return slices.ContainsFunc(other.crashes, func(c observedCrash) bool { return !c.at.After(s.soundAt) })
+}
+
+// merge adds what another host knows. It reports whether that changed the crashes.
+func (s *suspect) merge(other suspect) bool {
+	changed := s.clear(other.soundAt)
+	for _, c := range other.crashes {
+		changed = s.addCrash(c) || changed
+	}
+	return changed
 }
 
 // suspect returns the suspect as this host would keep it.
 func (s *Suspect) suspect(now time.Time) suspect {
-	var out suspect
+	out := suspect{depth: s.Depth}
+	if s.SoundAgeMillis > 0 {
+		out.soundAt = timeBefore(now, s.SoundAgeMillis)
+	}
 	for _, c := range s.Crashes {
-		out.add(observedCrash{id: c.ID, at: now.Add(-time.Duration(c.AgeMillis) * time.Millisecond)})
+		out.crashes = append(out.crashes, observedCrash{id: c.ID, at: timeBefore(now, c.AgeMillis)})
 	}
+	slices.SortFunc(out.crashes, func(a, b observedCrash) int { return a.at.Compare(b.at) })
 	return out
 }
 
+func timeBefore(now time.Time, millis int64) time.Time {
+	return now.Add(-time.Duration(millis) * time.Millisecond)
+}
+
+// millisSince returns the time since t, rounded up.
+func millisSince(now, t time.Time) int64 {
+	return max(0, now.Sub(t)+time.Millisecond-1).Milliseconds()
+}
+
 // Headlines returns suspects that were not told yet, to be sent at once: all of them,
 // or only those that this host observed. Each batch fits into one message.
 func (t *Table) Headlines(now time.Time, onlyObserved bool) [][]Suspect {
@@ -168,10 +212,12 @@
 		if size > maxBatchBytes {
 			break
 		}
-		told := Suspect{Key: k}
+		told := Suspect{Key: k, Depth: s.depth}
+		if !s.soundAt.IsZero() {
+			told.SoundAgeMillis = max(1, millisSince(now, s.soundAt))
+		}
 		for _, c := range s.crashes {
-			age := max(0, now.Sub(c.at)+time.Millisecond-1)
-			told.Crashes = append(told.Crashes, Crash{ID: c.id, AgeMillis: age.Milliseconds()})
+			told.Crashes = append(told.Crashes, Crash{ID: c.id, AgeMillis: millisSince(now, c.at)})
 		}
 		out = append(out, told)
 	}
