Soak: crash upstreams by a part of prompts in one seed of three

Streams of all seeds now have prompts with shared parts. In one seed of three a caller also sends requests with a part that ends each upstream that begins to answer them; the upstream refuses connections for 1.5 s then and starts again. At most three such requests may run 3 s after the fifth crash, by hosts without disturbances, and at most 5 % of the other streams may be refused for it. Proxies can refuse connections for that, as a process that has ended does.

--- a/fault/proxy.go
+++ b/fault/proxy.go
@@ -26,6 +26,9 @@
 	StallExisting
 	// StallReplies forwards data to the target only and holds back replies.
 	StallReplies
+	// Refuse closes all connections and refuses new ones, as for a process that has
+	// ended.
+	Refuse
 )
 
 // copyBufferBytes is the size of the buffer of each direction of a connection.
@@ -33,11 +36,12 @@
 
 // Proxy forwards TCP connections to one target.
 type Proxy struct {
-	target   string
-	listener net.Listener
+	target, address string
 
-	mu   sync.Mutex
-	mode Mode
+	mu sync.Mutex
+	// listener is nil in mode Refuse.
+	listener net.Listener
+	mode     Mode
 	// modeGeneration counts the changes of mode. StallExisting compares it with the
 	// generation in which a connection was opened.
 	modeGeneration int
@@ -57,13 +61,13 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	p := &Proxy{target: target, listener: listener, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
-	go p.accept()
+	p := &Proxy{target: target, address: listener.Addr().String(), listener: listener, conns: map[net.Conn]bool{}, changed: make(chan struct{})}
+	go p.accept(listener)
 	return p, p.close, nil
 }
 
 // Address returns the address that the proxy listens on.
-func (p *Proxy) Address() string { return p.listener.Addr().String() }
+func (p *Proxy) Address() string { return p.address }
 
 // SetMode sets the mode of current and future connections.
 func (p *Proxy) SetMode(m Mode) {
@@ -72,11 +76,29 @@
 	p.mode = m
 	p.modeGeneration++
 	p.notifyLocked()
-	if m == Disconnect {
+	p.setListeningLocked(m != Refuse)
+	if m == Disconnect || m == Refuse {
 		p.closeConnsLocked()
 	}
 }
 
+// setListeningLocked stops to listen, or listens again at the same address. The caller
+// holds p.mu.
+func (p *Proxy) setListeningLocked(listening bool) {
+	switch {
+	case !listening && p.listener != nil:
+		_ = p.listener.Close()
+		p.listener = nil
+	case listening && p.listener == nil && !p.closed:
+		listener, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return // the address was taken meanwhile; the target stays unreachable
+		}
+		p.listener = listener
+		go p.accept(listener)
+	}
+}
+
 // SetDelay sets the delay before each chunk of data is forwarded, in either
 // direction.
 func (p *Proxy) SetDelay(d time.Duration) {
@@ -108,18 +130,18 @@
 
 // close closes the listener and all connections.
 func (p *Proxy) close() {
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.setListeningLocked(false)
 	p.notifyLocked()
 	p.closeConnsLocked()
 }
 
 // accept accepts connections until the listener is closed.
-func (p *Proxy) accept() {
+func (p *Proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -41,6 +41,8 @@
 type requestRecord struct {
 	id, key, path string
 	kind          requestKind
+	// prompt lists the parts of the prompt, as ID:TOKENS, or is empty.
+	prompt string
 	// hostIndex and startNumber identify the process that the request was sent to: a
 	// host, and which of the host's starts.
 	hostIndex, startNumber int
@@ -76,6 +78,9 @@
 	defer g.mu.Unlock()
 	g.requestCount++
 	r := &requestRecord{id: fmt.Sprintf("%s-%d", k, g.requestCount), kind: k, key: key, path: fmt.Sprintf("/%s/%d", k, events)}
+	if k == resumableStream || k == nonResumableStream {
+		r.prompt = fmt.Sprintf("rules:300,subject%d:40,own%d:20", g.requestCount%5, g.requestCount)
+	}
 	g.records = append(g.records, r)
 	return r
 }
@@ -161,8 +166,12 @@
 	if r.kind == nonIdempotentRequest {
 		method, body = http.MethodPost, requestBody(r.id)
 	}
-	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: soak\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\nTenant: forged\r\nContent-Length: %d\r\n\r\n%s",
-		method, r.path, r.id, r.key, requestTimeout.Milliseconds(), len(body), body)
+	prompt := ""
+	if r.prompt != "" {
+		prompt = "Prompt-Prefix: " + r.prompt + "\r\n"
+	}
+	request := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: soak\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Ms: %d\r\n%sTenant: forged\r\nContent-Length: %d\r\n\r\n%s",
+		method, r.path, r.id, r.key, requestTimeout.Milliseconds(), prompt, len(body), body)
 	if _, err := io.WriteString(cc.conn, request); err != nil {
 		return g.recordError(r, abandonAfter, err)
 	}
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -61,6 +61,7 @@
 		violations = append(violations, h.unexpectedExits...)
 	}
 	violations = append(violations, f.checkKeyRegression(runs)...)
+	violations = append(violations, f.checkPoison()...)
 	return append(violations, f.checkRetryBudget(runs)...)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -110,6 +110,9 @@
 		callerRNG := rand.New(rand.NewPCG(rng.Uint64(), 3))
 		callers.Go(func() { f.generator.sendLoop(callersCtx, callerRNG) })
 	}
+	if seed%poisonSeeds == 0 {
+		callers.Go(func() { f.generator.sendPoison(callersCtx, rand.New(rand.NewPCG(seed, 4))) })
+	}
 	injector := &faultInjector{t: t, fleet: f, processLocks: make([]sync.Mutex, len(f.hosts))}
 	injector.run(ctx, rng, *faultSpan, 8+rng.IntN(10))
 	f.logf("all faults ended")
@@ -127,7 +130,8 @@
 		t.Errorf("seed %d:\n%s\nevents:\n%s", seed, strings.Join(violations, "\n"), strings.Join(f.eventLog, "\n"))
 		saveLogs(t, f, seed)
 	}
-	t.Logf("%d hosts, all ready %v after the last start, %d requests, %d runs, %d complete responses", len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount())
+	t.Logf("%d hosts, all ready %v after the last start, %d requests, %d runs, %d complete responses%s",
+		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary)
 }
 
 // completedCount returns the number of requests with a complete successful response.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -24,6 +24,7 @@
 	// the caller's API key.
 	keyForwarded bool
 	path         string
+	poisoned     bool
 }
 
 // runLog records the runs at all upstreams. It is safe for concurrent use.
@@ -71,12 +72,16 @@
 	listener            net.Listener
 	proxy               *fault.Proxy
 	closeProxy          func()
+	// crash lets the upstream's process end and come back.
+	crash func(*fakeUpstream)
 
 	mu           sync.Mutex
 	mode         upstreamMode
 	requestCount int
 	sequence     int
 	startedAt    time.Time
+	// crashed is set from the end of the process to its next start.
+	crashed bool
 }
 
 const (
@@ -92,12 +97,12 @@
 )
 
 // newFakeUpstream starts an upstream on a loopback address.
-func newFakeUpstream(id, service, domain string, log *runLog) (*fakeUpstream, error) {
+func newFakeUpstream(id, service, domain string, log *runLog, crash func(*fakeUpstream)) (*fakeUpstream, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	u := &fakeUpstream{id: id, service: service, domain: domain, runLog: log, listener: listener, startedAt: time.Now()}
+	u := &fakeUpstream{id: id, service: service, domain: domain, runLog: log, crash: crash, listener: listener, startedAt: time.Now()}
 	if u.proxy, u.closeProxy, err = fault.NewProxy(listener.Addr().String()); err != nil {
 		_ = listener.Close()
 		return nil, err
@@ -178,10 +183,16 @@
 	run := &upstreamRun{
 		id: id, upstream: u.id, startedAt: time.Now(), account: r.Header.Get("Tenant"), body: body,
 		keyForwarded: r.Header.Get("Authorization") != "", path: r.URL.Path,
+		poisoned: strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart),
 	}
 	u.runLog.beginRun(run)
 	defer u.runLog.endRun(run)
 	switch {
+	case strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart):
+		writeStreamHead(conn, id, u.id)
+		time.Sleep(poisonDelay)
+		u.crash(u)
+		return false
 	case mode == modeUnresponsive:
 		_ = conn.SetReadDeadline(time.Now().Add(unresponsiveTime))
 		_, _ = conn.Read(make([]byte, 1))
@@ -206,7 +217,7 @@
 // truncate is set it breaks off in the middle of the fourth event that it sends. It
 // returns false to close the connection.
 func (u *fakeUpstream) serveStream(conn net.Conn, r *http.Request, id string, truncate bool) bool {
-	fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id, u.id)
+	writeStreamHead(conn, id, u.id)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= eventCount(r.URL.Path); i++ {
 		time.Sleep(eventInterval)
@@ -223,6 +234,10 @@
 	return err == nil
 }
 
+func writeStreamHead(conn net.Conn, requestID, upstreamID string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", requestID, upstreamID)
+}
+
 // responseBody returns the complete response body of a request without a stream.
 func responseBody(id string) string { return strings.Repeat("answer of "+id+"\n", 20) }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -44,6 +44,10 @@
 	// upstreamCount counts all upstreams ever added.
 	upstreamCount int
 	disturbances  []disturbance
+	// poisonCrashes holds when requests with poisonPart crashed upstreams.
+	poisonCrashes []time.Time
+	// poisonSummary is the result of checkPoison in words.
+	poisonSummary string
 	// eventLog holds timestamped lines that are printed if the run fails.
 	eventLog  []string
 	startedAt time.Time
@@ -231,7 +235,7 @@
 	f.upstreamCount++
 	id := fmt.Sprintf("%s-%d", service, f.upstreamCount)
 	f.mu.Unlock()
-	u, err := newFakeUpstream(id, service, domain, f.runLog)
+	u, err := newFakeUpstream(id, service, domain, f.runLog, f.crashPoisoned)
 	if err != nil {
 		t.Error(err)
 		return nil
