Remind hosts of quarantined requests in the product's own interface

Now each fourth round of heartbeats carries up to 64 suspects in quarantine. Suspects with under 2 s left are not taken over, as hosts could otherwise send them back and forth for ever. A message with more than 8,192 suspects, which its receivers refused as a whole, now holds those with the most crashes.

--- a/host/duties.go
+++ b/host/duties.go
@@ -29,6 +29,10 @@
 	// reconcileInterval is how often this host asks the other hosts which grants
 	// of its schedulers they still hold.
 	reconcileInterval = 3 * time.Second
+	// reminderRounds is the number of rounds of heartbeats of which one carries the
+	// suspects in quarantine, at most maxReminders.
+	reminderRounds = 4
+	maxReminders   = 64
 )
 
 // startBackground starts the background goroutines of the host: heartbeats, load
@@ -61,7 +65,7 @@
 	h.refreshLists(ctx)
 	h.recordHeartbeatRound()
 	h.lists.initialReadDone.Store(true)
-	for ctx.Err() == nil {
+	for round := 0; ctx.Err() == nil; round++ {
 		if !h.isStateFresh(time.Now()) {
 			h.log.Warn("heartbeats were delayed; refreshing the lists from peers and platform")
 			h.metrics.Inc("mulberrydyke_pauses_total")
@@ -69,7 +73,7 @@
 		}
 		h.recordHeartbeatRound()
 		h.updateRoles(ctx)
-		h.sendHeartbeats(ctx, nil)
+		h.sendHeartbeats(ctx, h.reminders(round))
 		clock.Sleep(ctx, h.fleet.heartbeatInterval())
 	}
 	h.lists.setWatching(ctx, false)
@@ -135,22 +139,36 @@
 }
 
 // sendHeartbeats sends a heartbeat to every target without waiting for the replies.
-// It skips a target whose last heartbeat is still pending, unless there are
-// suspects to send.
-func (h *Host) sendHeartbeats(ctx context.Context, suspects []pool.Suspect) {
+// It skips a target whose last heartbeat is still pending.
+func (h *Host) sendHeartbeats(ctx context.Context, reminders []pool.Suspect) {
 	for _, address := range h.fleet.heartbeatTargets(time.Now(), h.settings.Peers) {
-		if suspects == nil && !h.fleet.beginHeartbeat(address) {
+		if !h.fleet.beginHeartbeat(address) {
 			continue
 		}
 		h.background.Go(func() {
-			if suspects == nil {
-				defer h.fleet.endHeartbeat(address)
-			}
-			h.exchangeHeartbeat(ctx, address, suspects)
+			defer h.fleet.endHeartbeat(address)
+			h.exchangeHeartbeat(ctx, address, reminders)
 		})
 	}
 }
 
+// sendSuspects sends new suspects to every target at once.
+func (h *Host) sendSuspects(ctx context.Context, suspects []pool.Suspect) {
+	suspects = pool.MostSuspect(suspects, peer.MaxSuspects)
+	for _, address := range h.fleet.heartbeatTargets(time.Now(), h.settings.Peers) {
+		h.background.Go(func() { h.exchangeHeartbeat(ctx, address, suspects) })
+	}
+}
+
+// reminders returns the suspects in quarantine in some rounds of heartbeats, and nil in
+// the others. They are sent again for hosts that were out of reach when they were new.
+func (h *Host) reminders(round int) []pool.Suspect {
+	if round%reminderRounds != 0 {
+		return nil
+	}
+	return pool.MostSuspect(h.local.QuarantinedSuspects(time.Now()), maxReminders)
+}
+
 // exchangeHeartbeats sends a heartbeat to every target and waits for the replies.
 func (h *Host) exchangeHeartbeats(ctx context.Context) {
 	var wg sync.WaitGroup
@@ -348,7 +366,7 @@
 	isNew := h.local.MergeSuspects(now, suspects)
 	h.fallback.MergeSuspects(now, suspects)
 	if isNew {
-		h.sendHeartbeats(context.Background(), suspects)
+		h.sendSuspects(context.Background(), suspects)
 	}
 }
 
@@ -359,6 +377,6 @@
 	h.local.MergeSuspects(now, suspects)
 	h.fallback.MergeSuspects(now, suspects)
 	if len(suspects) > 0 {
-		h.sendHeartbeats(ctx, suspects)
+		h.sendSuspects(ctx, suspects)
 	}
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -12,15 +12,17 @@
 	"mulberrydyke/pool"
 )
 
-// Limits of one message's content: the length of a name and the number of runs,
-// suspects and events.
+// Limits of one message's content: the length of a name and the number of runs
+// and events.
 const (
 	maxNameBytes = 256
 	maxRuns      = 1 << 16
-	maxSuspects  = 1 << 13
 	maxEvents    = 1 << 12
 )
 
+// MaxSuspects bounds the suspects in one message.
+const MaxSuspects = 1 << 13
+
 // MessageError reports a message with an invalid field.
 type MessageError struct {
 	Message string
@@ -65,7 +67,7 @@
 		constraint{isValidName(a.Beat.Self.ID), "id"},
 		constraint{isValidName(a.Beat.Self.Domain), "domain"},
 		constraint{a.Beat.Self.Incarnation != 0, "incarnation"},
-		constraint{len(a.Suspects) <= maxSuspects, "suspects"})
+		constraint{len(a.Suspects) <= MaxSuspects, "suspects"})
 }
 
 // BeatReply carries the other host's own heartbeat.
@@ -173,7 +175,7 @@
 
 // Check returns an error if the message is not valid.
 func (r *RunsReply) Check() error {
-	return checkConstraints("runs", constraint{len(r.Runs) <= maxRuns, "runs"}, constraint{len(r.Suspects) <= maxSuspects, "suspects"})
+	return checkConstraints("runs", constraint{len(r.Runs) <= maxRuns, "runs"}, constraint{len(r.Suspects) <= MaxSuspects, "suspects"})
 }
 
 // Empty is an empty message.
--- a/placement/server.go
+++ b/placement/server.go
@@ -169,6 +169,13 @@
 	return s.knownSuspects.List(now)
 }
 
+// QuarantinedSuspects returns the known suspects that are in quarantine.
+func (s *Server) QuarantinedSuspects(now time.Time) []pool.Suspect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(s.knownSuspects.List(now), func(x pool.Suspect) bool { return s.knownSuspects.QuarantineLeft(now, x.Content) == 0 })
+}
+
 // LocalSuspects returns the suspects of the schedulers on this host, without
 // duplicate contents.
 func (s *Server) LocalSuspects(now time.Time) []pool.Suspect {
--- a/pool/suspect.go
+++ b/pool/suspect.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	maxProven = 4096
 	// suspectTTL is how long content stays a suspect without a second crash.
 	suspectTTL = 10 * time.Minute
+	// minTimeLeft is the time for which a suspect must still be kept to be taken over
+	// from another host.
+	minTimeLeft = 2 * time.Second
 )
 
 // Crash identifies a crash of one instance of an upstream's process.
@@ -104,11 +108,15 @@
 }
 
 // Merge adds the suspects of another host. They expire no later than they do
-// there. Merge reports whether any crash was new.
+// there. Those that are about to expire are left out, or hosts could go on telling them
+// each other. Merge reports whether any crash was new.
 func (s *Suspects) Merge(now time.Time, other []Suspect, quarantine time.Duration) bool {
 	before := s.changed
 	s.changed = false
 	for _, o := range other {
+		if o.Left < minTimeLeft {
+			continue
+		}
 		for _, c := range o.Crashes {
 			s.record(now, o.Content, c, min(suspectTTL, o.Left), min(quarantine, o.Left))
 		}
@@ -194,6 +202,19 @@
 	return out
 }
 
+// MostSuspect returns up to n suspects of a list: those with the most crashes, and of
+// these the ones that expire last, since they are the newest.
+func MostSuspect(list []Suspect, n int) []Suspect {
+	if len(list) <= n {
+		return list
+	}
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b Suspect) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(b.Left, a.Left))
+	})
+	return list[:n]
+}
+
 // TakeChanged reports whether a crash was added since the last call.
 func (s *Suspects) TakeChanged() bool {
 	changed := s.changed
--- a/pool/suspect_test.go
+++ b/pool/suspect_test.go
@@ -24,3 +24,13 @@
 		t.Errorf("%d suspects, want at most %d", n, maxSuspects)
 	}
 }
+
+// TestSuspectAboutToExpireIsNotTakenOver guards against hosts that tell each other of the
+// same suspect for ever, since each has just forgotten it when the other tells it.
+func TestSuspectAboutToExpireIsNotTakenOver(t *testing.T) {
+	s := NewSuspects()
+	told := []Suspect{{Content: 1, Crashes: []Crash{{Upstream: "u1", Instance: "a"}}, Left: time.Millisecond}}
+	if s.Merge(start, told, time.Minute) || !s.Empty() {
+		t.Error("taken over")
+	}
+}
