Blame no part for upstreams that end together

What callers would have seen: with the blame of parts as it was since, a part that all prompts share was refused for minutes after a crash of all engines for another reason, since nothing was left to clear it.

Change: only crashes of a part that are 200 ms apart count towards its three, 500 ms for a part that was sound before, because a part crashes upstreams one after the other. A request clears its traits of the crashes before it began, not before it finished, and a stream counts as sound after half a second in place of one; so requests that ran before a part began to crash upstreams don't clear it. The quarantine of a part does not grow with its crashes, as it keeps out many requests.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -67,9 +67,11 @@
 	longestGap  time.Duration
 	lastEventAt time.Time
 	cause       string
-	// attemptFirstEvent is when the first event of the last attempt arrived, or zero.
-	// soundNotedAt is when it was last recorded that its stream goes on.
-	attemptFirstEvent, soundNotedAt time.Time
+	// attemptSentAt is when the last attempt was sent, and attemptFirstEvent when its
+	// first event arrived, or zero.
+	attemptSentAt, attemptFirstEvent time.Time
+	// soundNoted is set once it was recorded that the stream of the last attempt goes on.
+	soundNoted bool
 	// endedWithConn is set if the last answer had neither a length nor chunks.
 	endedWithConn bool
 	// crashChecked is closed when it is known whether the last attempt crashed its
@@ -205,7 +207,7 @@
 		Urgency: x.urgency(lease.Class), LastEventID: x.lastEventID,
 	})
 	x.sends++
-	x.attemptFirstEvent, x.crashChecked = time.Time{}, nil
+	x.attemptSentAt, x.attemptFirstEvent, x.soundNoted, x.crashChecked = now, time.Time{}, false, nil
 	upstreamEx, err := conn.Send(ctx, server.Dialect, x.request, header, x.headerDeadline(now, lease))
 	if err != nil {
 		x.possibleRuns++
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -15,9 +15,7 @@
 const (
 	// soundAfter is how long a stream goes on after its first event until it counts as
 	// sound. A request that crashes its upstream does so when it begins to run.
-	soundAfter = time.Second
-	// soundInterval is the minimum time between two records of a sound stream.
-	soundInterval = 500 * time.Millisecond
+	soundAfter = 500 * time.Millisecond
 )
 
 // quarantineLeft returns for how long requests like this are still refused, or zero.
@@ -47,7 +45,11 @@
 // recordFinished records that a run was complete. If the answer ended with its
 // connection, an upstream that has crashed may look the same.
 func (x *exchange) recordFinished(lease *dispatch.Lease) {
-	recordSound := func() { x.server.recordSound(x.request) }
+	began := x.attemptSentAt
+	if !x.attemptFirstEvent.IsZero() {
+		began = x.attemptFirstEvent
+	}
+	recordSound := func() { x.server.recordSound(x.request, began) }
 	switch {
 	case !x.endedWithConn:
 		recordSound()
@@ -56,22 +58,24 @@
 	}
 }
 
-// recordSound records that a request did not crash its upstream.
-func (s *Server) recordSound(r *call.Request) {
+// recordSound records that a request that began to run at the given time did not crash
+// its upstream.
+func (s *Server) recordSound(r *call.Request, began time.Time) {
 	traits := quarantine.PartsOf(r)
 	if !s.Quarantine.Empty() {
 		traits = append(traits, quarantine.ContentOf(r))
 	}
-	s.Quarantine.RecordSound(s.Now(), traits)
+	s.Quarantine.RecordSound(s.Now(), began, traits)
 }
 
-// noteProgress records from time to time that a stream is sound.
+// noteProgress records, once for each attempt, that the parts of a prompt whose stream
+// goes on are sound.
 func (x *exchange) noteProgress(now time.Time) {
-	if !x.goesOn(now) || now.Sub(x.soundNotedAt) < soundInterval {
+	if x.soundNoted || !x.goesOn(now) {
 		return
 	}
-	x.soundNotedAt = now
-	x.server.Quarantine.RecordSound(now, quarantine.PartsOf(x.request))
+	x.soundNoted = true
+	x.server.Quarantine.RecordSound(now, x.attemptFirstEvent, quarantine.PartsOf(x.request))
 }
 
 // goesOn reports whether the stream of this attempt has gone on for so long that the
--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -33,8 +33,8 @@
 	_     struct{} `cbor:",toarray"`
 	Key   Key
 	Depth Depth
-	// SoundAgeMillis is the time since a request with the trait last did not crash its
-	// upstream, or zero if that is not known.
+	// SoundAgeMillis is the time since the last request with the trait began that did not
+	// crash its upstream, or zero if none is known.
 	SoundAgeMillis int64
 	// Crashes are those since then.
 	Crashes []Crash
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -13,12 +13,15 @@
 	// may have been on several upstreams that crashed for another reason.
 	contentCrashLimit = 2
 	partCrashLimit    = 3
-	// newPartSettleTime is how long after the crash that reaches the limit a part is not
-	// yet blamed, so that other hosts' news of the same crashes are heard first. It is
-	// usedPartSettleTime for a part that was sound before, so that answers with it on
-	// other upstreams can clear it.
-	newPartSettleTime  = 100 * time.Millisecond
-	usedPartSettleTime = time.Second
+	// newPartGap is the time between two crashes that both count towards the limit of a
+	// part. Upstreams that end together had another cause, while a part crashes one after
+	// the other. It is usedPartGap for a part that was sound before, so that answers with
+	// it on other upstreams can clear it.
+	newPartGap  = 200 * time.Millisecond
+	usedPartGap = 500 * time.Millisecond
+	// settleTime is how long after the crash that reaches the limit a part is not yet
+	// blamed, so that other hosts' news of the same crashes are heard first.
+	settleTime = 100 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept of a suspect.
 	maxCrashes = 12
 	// suspectTTL is how long a suspect is kept after its last crash.
@@ -49,14 +52,14 @@
 	// crashes holds up to maxCrashes crashes after soundAt, ordered by time, without
 	// duplicates.
 	crashes []observedCrash
-	// soundAt is when a request with the trait last did not crash its upstream, or zero.
-	// A trait that crashes upstreams crashes each of them, so that the crashes before
-	// had another cause.
+	// soundAt is when the last request with the trait began that did not crash its
+	// upstream, or zero. A trait that crashes upstreams crashes each of them, so that
+	// the crashes before had another cause.
 	soundAt time.Time
 	news    news
 }
 
-// crashLimit returns the number of crashes from which requests are refused.
+// crashLimit returns the number of crashes, gap apart, from which requests are refused.
 func (s *suspect) crashLimit() int {
 	if s.depth == contentDepth {
 		return contentCrashLimit
@@ -64,28 +67,47 @@
 	return partCrashLimit
 }
 
-// settledAt returns from when the suspect may be blamed for its crashes, or false if
-// there are too few.
-func (s *suspect) settledAt() (time.Time, bool) {
-	limit := s.crashLimit()
-	if len(s.crashes) < limit {
-		return time.Time{}, false
-	}
-	at := s.crashes[limit-1].at
+// gap returns the time between two crashes that both count towards crashLimit.
+func (s *suspect) gap() time.Duration {
 	switch {
 	case s.depth == contentDepth:
-		return at, true
+		return 0
 	case s.soundAt.IsZero():
-		return at.Add(newPartSettleTime), true
+		return newPartGap
+	}
+	return usedPartGap
+}
+
+// settledAt returns from when the suspect may be blamed for its crashes, or false if
+// there are too few.
+func (s *suspect) settledAt() (time.Time, bool) {
+	counted := 0
+	var last time.Time
+	for _, c := range s.crashes {
+		if counted > 0 && c.at.Sub(last) < s.gap() {
+			continue
+		}
+		counted, last = counted+1, c.at
+		if counted < s.crashLimit() {
+			continue
+		}
+		if s.depth == contentDepth {
+			return last, true
+		}
+		return last.Add(settleTime), true
 	}
-	return at.Add(usedPartSettleTime), true
+	return time.Time{}, false
 }
 
-// quarantineEnd returns when the first host may try a request again. There must be
-// enough crashes for a quarantine.
+// quarantineEnd returns when the first host may try a request again. Content that goes on
+// crashing upstreams is tried ever more seldom. Parts are not: they keep out many
+// requests, which can be served again once the upstreams are mended.
 func (s *suspect) quarantineEnd() time.Time {
-	n := len(s.crashes)
-	return s.crashes[n-1].at.Add(time.Duration(n-s.crashLimit()+1) * Duration)
+	n, times := len(s.crashes), 1
+	if s.depth == contentDepth {
+		times = n - contentCrashLimit + 1
+	}
+	return s.crashes[n-1].at.Add(time.Duration(times) * Duration)
 }
 
 // expires returns when the suspect is forgotten.
@@ -109,8 +131,8 @@
 	return true
 }
 
-// clear records that a request with the trait did not crash its upstream. It reports
-// whether crashes no longer count because of that.
+// clear records that a request with the trait that began at the given time did not crash
+// its upstream. It reports whether crashes no longer count because of that.
 func (s *suspect) clear(at time.Time) bool {
 	if !at.After(s.soundAt) {
 		return false
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// Duration is how long a request is refused at least once it is blamed, and how
-	// much longer after each further crash. It is far longer than an upstream takes to
-	// restart.
+	// Duration is how long a request is refused at least once it is blamed, and for its
+	// content, how much longer after each further crash. It is far longer than an
+	// upstream takes to restart.
 	Duration = time.Minute
 	// trialSpread is the time over which hosts try a request again, one after the
 	// other. The news of a crash spreads in a small part of it, so that a trial costs
@@ -79,15 +79,16 @@
 	}
 }
 
-// RecordSound records that a request with the given traits did not crash its upstream.
-func (t *Table) RecordSound(now time.Time, traits []Trait) {
+// RecordSound records that a request with the given traits, which began to run at the
+// given time, did not crash its upstream.
+func (t *Table) RecordSound(now, began time.Time, traits []Trait) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, trait := range traits {
 		if trait.Depth != contentDepth {
-			t.sound.add(now, trait.Key)
+			t.sound.add(began, trait.Key)
 		}
-		if s := t.suspects[trait.Key]; s != nil && s.clear(now) {
+		if s := t.suspects[trait.Key]; s != nil && s.clear(began) {
 			t.noteChange(now, s, true)
 		}
 	}
