Keep the crashes of a suspect within the age that other hosts accept

Found by reading: a request that crashes an upstream every 19 minutes kept crashes of all ages, and a host that is told of a crash older than 20 minutes refuses the whole message, with all other suspects in it. TestToldSuspectsAreValid failed from the second crash on. Crashes now span at most 20 minutes, and ages up to 40 minutes are accepted.

--- a/quarantine/news.go
+++ b/quarantine/news.go
@@ -57,7 +57,9 @@
 	if len(s.Crashes) == 0 && s.SoundAgeMillis == 0 {
 		return false
 	}
-	return !slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.AgeMillis < 0 || c.AgeMillis > suspectTTL.Milliseconds() })
+	// The oldest crash may be suspectTTL older than the last, which may be as old.
+	const maxAge = 2 * suspectTTL
+	return !slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.AgeMillis < 0 || c.AgeMillis > maxAge.Milliseconds() })
 }
 
 // news tells what other hosts have yet to hear of a suspect.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -50,7 +50,7 @@
 type suspect struct {
 	depth Depth
 	// crashes holds up to maxCrashes crashes after soundAt, ordered by time, without
-	// duplicates.
+	// duplicates. They span at most suspectTTL.
 	crashes []observedCrash
 	// soundAt is when the last request with the trait began that did not crash its
 	// upstream, or zero. A trait that crashes upstreams crashes each of them, so that
@@ -128,6 +128,8 @@
 	s.crashes = append(s.crashes, c)
 	slices.SortFunc(s.crashes, func(a, b observedCrash) int { return a.at.Compare(b.at) })
 	s.crashes = s.crashes[max(0, len(s.crashes)-maxCrashes):]
+	oldest := s.crashes[len(s.crashes)-1].at.Add(-suspectTTL)
+	s.crashes = slices.DeleteFunc(s.crashes, func(o observedCrash) bool { return o.at.Before(oldest) })
 	return true
 }
 
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -158,3 +158,19 @@
 		t.Errorf("%d crashes in 5 minutes, after the first 3 s", crashes-early)
 	}
 }
+
+// TestToldSuspectsAreValid guards against suspects whose oldest crashes are so old that
+// the hosts that are told of them refuse the whole message.
+func TestToldSuspectsAreValid(t *testing.T) {
+	table := NewTable("a")
+	now := start
+	for i := range 8 {
+		now = now.Add(suspectTTL - time.Minute)
+		table.RecordCrash(now, content(7), upstream(plan.UpstreamID(fmt.Sprintf("u%d", i))))
+		for _, s := range table.News(now.Add(suspectTTL - time.Second))[0] {
+			if !s.Valid() {
+				t.Errorf("after %d crashes: %+v", i+1, s)
+			}
+		}
+	}
+}
