Name the exchange of suspects by the field's terms

Updates are sent, as in other membership protocols, where the code had news and headlines; crashes are attributed to causes, and a trait that crashes nothing is harmless. The log line "suspects told" lists traits, since they may be parts of prompts too. No logic changes.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -70,8 +70,8 @@
 	// attemptSentAt is when the last attempt was sent, and attemptFirstEvent when its
 	// first event arrived, or zero.
 	attemptSentAt, attemptFirstEvent time.Time
-	// soundNoted is set once it was recorded that the stream of the last attempt goes on.
-	soundNoted bool
+	// harmlessNoted is set once it was recorded that the stream of the last attempt goes on.
+	harmlessNoted bool
 	// endedWithConn is set if the last answer had neither a length nor chunks.
 	endedWithConn bool
 	// crashChecked is closed when it is known whether the last attempt crashed its
@@ -207,7 +207,7 @@
 		Urgency: x.urgency(lease.Class), LastEventID: x.lastEventID,
 	})
 	x.sends++
-	x.attemptSentAt, x.attemptFirstEvent, x.soundNoted, x.crashChecked = now, time.Time{}, false, nil
+	x.attemptSentAt, x.attemptFirstEvent, x.harmlessNoted, x.crashChecked = now, time.Time{}, false, nil
 	upstreamEx, err := conn.Send(ctx, server.Dialect, x.request, header, x.headerDeadline(now, lease))
 	if err != nil {
 		x.possibleRuns++
--- a/gateway/suspect.go
+++ b/gateway/suspect.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// soundAfter is how long a stream goes on after its first event until it counts as
-	// sound. A request that crashes its upstream does so when it begins to run.
-	soundAfter = 500 * time.Millisecond
+	// harmlessAfter is how long a stream goes on after its first event until it counts as
+	// harmless. A request that crashes its upstream does so when it begins to run.
+	harmlessAfter = 500 * time.Millisecond
 )
 
 // quarantineLeft returns for how long requests like this are still refused, or zero.
@@ -49,39 +49,39 @@
 	if !x.attemptFirstEvent.IsZero() {
 		began = x.attemptFirstEvent
 	}
-	recordSound := func() { x.server.recordSound(x.request, began) }
+	recordHarmless := func() { x.server.recordHarmless(x.request, began) }
 	switch {
 	case !x.endedWithConn:
-		recordSound()
+		recordHarmless()
 	case !x.server.Quarantine.Empty():
-		x.checkForCrash(lease, recordSound)
+		x.checkForCrash(lease, recordHarmless)
 	}
 }
 
-// recordSound records that a request that began to run at the given time did not crash
+// recordHarmless records that a request that began to run at the given time did not crash
 // its upstream.
-func (s *Server) recordSound(r *call.Request, began time.Time) {
+func (s *Server) recordHarmless(r *call.Request, began time.Time) {
 	traits := quarantine.PartsOf(r)
 	if !s.Quarantine.Empty() {
 		traits = append(traits, quarantine.ContentOf(r))
 	}
-	s.Quarantine.RecordSound(s.Now(), began, traits)
+	s.Quarantine.RecordHarmless(s.Now(), began, traits)
 }
 
 // noteProgress records, once for each attempt, that the parts of a prompt whose stream
-// goes on are sound.
+// goes on are harmless.
 func (x *exchange) noteProgress(now time.Time) {
-	if x.soundNoted || !x.goesOn(now) {
+	if x.harmlessNoted || !x.goesOn(now) {
 		return
 	}
-	x.soundNoted = true
-	x.server.Quarantine.RecordSound(now, x.attemptFirstEvent, quarantine.PartsOf(x.request))
+	x.harmlessNoted = true
+	x.server.Quarantine.RecordHarmless(now, x.attemptFirstEvent, quarantine.PartsOf(x.request))
 }
 
 // goesOn reports whether the stream of this attempt has gone on for so long that the
 // request is not what crashes its upstream.
 func (x *exchange) goesOn(now time.Time) bool {
-	return !x.attemptFirstEvent.IsZero() && now.Sub(x.attemptFirstEvent) >= soundAfter
+	return !x.attemptFirstEvent.IsZero() && now.Sub(x.attemptFirstEvent) >= harmlessAfter
 }
 
 // checkForCrash finds out whether the upstream of an attempt has crashed: then it accepts
--- a/gossip/crashpart_test.go
+++ b/gossip/crashpart_test.go
@@ -11,8 +11,8 @@
 	"mulberrydyke/route"
 )
 
-// soundAfter is how long a stream goes on until its parts count as sound.
-const soundAfter = 500 * time.Millisecond
+// harmlessAfter is how long a stream goes on until its parts count as sound.
+const harmlessAfter = 500 * time.Millisecond
 
 // simEngine is an engine of a simFleet that crashes soon after it begins to answer a
 // prompt with the part "bad".
@@ -92,10 +92,10 @@
 	e.runs = slices.DeleteFunc(e.runs, func(r simRun) bool {
 		switch ran := d.now.Sub(r.begin); {
 		case !d.now.Before(r.end):
-			r.host.Quarantine.RecordSound(d.now, r.begin, quarantine.TraitsOf(r.request))
+			r.host.Quarantine.RecordHarmless(d.now, r.begin, quarantine.TraitsOf(r.request))
 			return true
-		case ran == soundAfter:
-			r.host.Quarantine.RecordSound(d.now, r.begin, quarantine.PartsOf(r.request))
+		case ran == harmlessAfter:
+			r.host.Quarantine.RecordHarmless(d.now, r.begin, quarantine.PartsOf(r.request))
 		}
 		return false
 	})
@@ -106,7 +106,7 @@
 	u := &route.Upstream{ID: simUpstream(slices.Index(d.engines, e)), StartedAt: start.Add(time.Duration(e.starts) * time.Hour)}
 	for _, r := range e.runs {
 		traits := quarantine.TraitsOf(r.request)
-		if d.now.Sub(r.begin) >= soundAfter {
+		if d.now.Sub(r.begin) >= harmlessAfter {
 			traits = traits[:1] // the content; the parts are no suspects any more
 		}
 		r.host.Quarantine.RecordCrash(d.now, traits, u)
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -33,8 +33,8 @@
 	// offset is when in each interval the host sends.
 	offset    time.Duration
 	sentBytes int
-	// lastHeadlines is when the host last told new suspects at once.
-	lastHeadlines time.Time
+	// lastUpdates is when the host last told new suspects at once.
+	lastUpdates time.Time
 	// cutFrom, if set, reports which hosts are out of reach.
 	cutFrom func(*simHost) bool
 }
@@ -122,7 +122,7 @@
 			case f.now.Sub(start)%startInterval == h.offset%startInterval:
 				h.decideReading(f.now)
 			}
-			f.runHeadlines(h)
+			f.runUpdates(h)
 		}
 		if check != nil {
 			check()
@@ -130,15 +130,15 @@
 	}
 }
 
-// runHeadlines does what the goroutine of the same name does.
-func (f *simFleet) runHeadlines(h *simHost) {
-	if h.down || f.now.Sub(h.lastHeadlines) < headlineInterval {
+// runUpdates does what the goroutine of the same name does.
+func (f *simFleet) runUpdates(h *simHost) {
+	if h.down || f.now.Sub(h.lastUpdates) < updateInterval {
 		return
 	}
 	select {
 	case <-h.Quarantine.Changed():
-		h.lastHeadlines = f.now
-		h.sendHeadlines(f.now)
+		h.lastUpdates = f.now
+		h.sendUpdates(f.now)
 	default:
 	}
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -88,8 +88,8 @@
 	Role      Role          `cbor:"10,keyasint"`
 	// Peers are some hosts that were seen lately.
 	Peers []DomainPeers `cbor:"11,keyasint,omitempty"`
-	// Suspects are the requests that were running on upstreams when these
-	// crashed, identified by a hash of their content.
+	// Suspects are traits of requests that were running on upstreams when these
+	// crashed. Only messages of KindSuspects carry them.
 	Suspects []quarantine.Suspect `cbor:"12,keyasint,omitempty"`
 	Kind     Kind                 `cbor:"13,keyasint"`
 	// Group is the sender's group.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -192,7 +192,7 @@
 	defer startTicker.Stop()
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { n.runHeadlines(ctx) })
+	tasks.Go(func() { n.runUpdates(ctx) })
 	n.send(n.Now(), false)
 	for {
 		select {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -35,7 +35,7 @@
 	}
 	n.applyReport(now, msg, role, group)
 	if n.Quarantine.Merge(now, msg.Suspects) {
-		n.Log.Info("suspects told", "by", string(msg.Host), "contents", keysOf(msg.Suspects))
+		n.Log.Info("suspects told", "by", string(msg.Host), "traits", keysOf(msg.Suspects))
 	}
 	if reply {
 		n.sendHello(now, from)
--- a/gossip/suspects.go
+++ b/gossip/suspects.go
@@ -10,35 +10,35 @@
 )
 
 const (
-	// headlineInterval is the minimum time between two calls of sendHeadlines.
-	headlineInterval = 50 * time.Millisecond
+	// updateInterval is the minimum time between two calls of sendUpdates.
+	updateInterval = 50 * time.Millisecond
 	// reminderRounds is the number of rounds from one reminder of the requests in
 	// quarantine to the next.
 	reminderRounds = 2
 )
 
-// runHeadlines tells other hosts of new suspects as soon as there are any, until ctx
+// runUpdates tells other hosts of new suspects as soon as there are any, until ctx
 // ends.
-func (n *Node) runHeadlines(ctx context.Context) {
+func (n *Node) runUpdates(ctx context.Context) {
 	for {
 		select {
 		case <-n.Quarantine.Changed():
-			n.sendHeadlines(n.Now())
-			clock.Sleep(ctx, headlineInterval)
+			n.sendUpdates(n.Now())
+			clock.Sleep(ctx, updateInterval)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// sendHeadlines tells all live hosts of the group, and those that a speaker or a
-// reporter speaks to, of what they have not been told yet. Hosts that speak for nobody
+// sendUpdates tells all live hosts of the group, and those that a speaker or a
+// reporter speaks to, of what they were not sent yet. Hosts that speak for nobody
 // leave it to the others to pass on at once what they were told.
-func (n *Node) sendHeadlines(now time.Time) {
+func (n *Node) sendUpdates(now time.Time) {
 	n.mu.Lock()
 	role, targets := n.role, n.members.SuspectTargets(now, addresses(n.members.liveInGroup(now)))
 	n.mu.Unlock()
-	for _, suspects := range n.Quarantine.Headlines(now, role < RoleSpeaker) {
+	for _, suspects := range n.Quarantine.UnsentUpdates(now, role < RoleSpeaker) {
 		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
 	}
 }
@@ -52,7 +52,7 @@
 	remind := n.suspectRounds%reminderRounds == 0
 	targets := n.members.SuspectTargets(now, group)
 	n.mu.Unlock()
-	for _, suspects := range n.Quarantine.News(now) {
+	for _, suspects := range n.Quarantine.NextUpdates(now) {
 		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
 	}
 	if !remind {
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -15,20 +15,20 @@
 	partCrashLimit    = 3
 	// newPartGap is the time between two crashes that both count towards the limit of a
 	// part. Upstreams that end together had another cause, while a part crashes one after
-	// the other. It is usedPartGap for a part that was sound before, so that answers with
+	// the other. It is usedPartGap for a part that was harmless before, so that answers with
 	// it on other upstreams can clear it.
 	newPartGap  = 200 * time.Millisecond
 	usedPartGap = 500 * time.Millisecond
 	// settleTime is how long after the crash that reaches the limit a part is not yet
-	// blamed, so that other hosts' news of the same crashes are heard first.
+	// taken to be the cause, so that updates on the same crashes are received first.
 	settleTime = 100 * time.Millisecond
 	// maxCrashes bounds the crashes that are kept of a suspect.
 	maxCrashes = 12
 	// suspectTTL is how long a suspect is kept after its last crash.
 	suspectTTL = 20 * time.Minute
-	// soundTTL is how long a suspect is kept whose crashes no longer count, so that
+	// harmlessTTL is how long a suspect is kept whose crashes no longer count, so that
 	// hosts that have not heard so can't tell of them again.
-	soundTTL = time.Minute
+	harmlessTTL = time.Minute
 )
 
 // CrashID identifies the crash of one process of an upstream by a hash.
@@ -49,14 +49,14 @@
 // these crashed.
 type suspect struct {
 	depth Depth
-	// crashes holds up to maxCrashes crashes after soundAt, ordered by time, without
+	// crashes holds up to maxCrashes crashes after harmlessAt, ordered by time, without
 	// duplicates. They span at most suspectTTL.
 	crashes []observedCrash
-	// soundAt is when the last request with the trait began that did not crash its
+	// harmlessAt is when the last request with the trait began that did not crash its
 	// upstream, or zero. A trait that crashes upstreams crashes each of them, so that
 	// the crashes before had another cause.
-	soundAt time.Time
-	news    news
+	harmlessAt time.Time
+	update     update
 }
 
 // crashLimit returns the number of crashes, gap apart, from which requests are refused.
@@ -72,13 +72,13 @@
 	switch {
 	case s.depth == contentDepth:
 		return 0
-	case s.soundAt.IsZero():
+	case s.harmlessAt.IsZero():
 		return newPartGap
 	}
 	return usedPartGap
 }
 
-// settledAt returns from when the suspect may be blamed for its crashes, or false if
+// settledAt returns from when the suspect may be the cause of its crashes, or false if
 // there are too few.
 func (s *suspect) settledAt() (time.Time, bool) {
 	counted := 0
@@ -115,14 +115,14 @@
 	if n := len(s.crashes); n > 0 {
 		return s.crashes[n-1].at.Add(suspectTTL)
 	}
-	return s.soundAt.Add(soundTTL)
+	return s.harmlessAt.Add(harmlessTTL)
 }
 
 // addCrash adds a crash. It reports whether that is new and counts.
 func (s *suspect) addCrash(c observedCrash) bool {
 	known := slices.ContainsFunc(s.crashes, func(o observedCrash) bool { return o.id == c.id })
 	late := len(s.crashes) >= maxCrashes && !c.at.After(s.crashes[0].at)
-	if known || late || !c.at.After(s.soundAt) {
+	if known || late || !c.at.After(s.harmlessAt) {
 		return false
 	}
 	s.crashes = append(s.crashes, c)
@@ -136,10 +136,10 @@
 // clear records that a request with the trait that began at the given time did not crash
 // its upstream. It reports whether crashes no longer count because of that.
 func (s *suspect) clear(at time.Time) bool {
-	if !at.After(s.soundAt) {
+	if !at.After(s.harmlessAt) {
 		return false
 	}
-	s.soundAt = at
+	s.harmlessAt = at
 	before := len(s.crashes)
 	s.crashes = slices.DeleteFunc(s.crashes, func(c observedCrash) bool { return !c.at.After(at) })
 	return len(s.crashes) < before
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	// Duration is how long a request is refused at least once it is blamed, and for its
+	// Duration is how long a request is refused at least, and for its
 	// content, how much longer after each further crash. It is far longer than an
 	// upstream takes to restart.
 	Duration = time.Minute
@@ -31,11 +31,11 @@
 	host     plan.HostID
 	mu       sync.Mutex
 	suspects map[Key]*suspect
-	sound    soundParts
-	// verdict is what follows from suspects. It is not valid after they have changed.
-	verdict verdict
-	// hasNews is set while other hosts may not have been told of all suspects.
-	hasNews bool
+	harmless harmlessParts
+	// attribution is what follows from suspects. It is not valid after they have changed.
+	attribution attribution
+	// hasUpdates is set while there may be suspects to send.
+	hasUpdates bool
 	// cursor is the position of the last call of Reminders.
 	cursor  int
 	changed chan struct{}
@@ -43,7 +43,7 @@
 
 // NewTable returns the empty table of a host.
 func NewTable(host plan.HostID) *Table {
-	return &Table{host: host, suspects: map[Key]*suspect{}, sound: newSoundParts(), changed: make(chan struct{}, 1)}
+	return &Table{host: host, suspects: map[Key]*suspect{}, harmless: newHarmlessParts(), changed: make(chan struct{}, 1)}
 }
 
 // Empty reports whether there are no suspects. Callers then need not compute traits.
@@ -79,14 +79,14 @@
 	}
 }
 
-// RecordSound records that a request with the given traits, which began to run at the
+// RecordHarmless records that a request with the given traits, which began to run at the
 // given time, did not crash its upstream.
-func (t *Table) RecordSound(now, began time.Time, traits []Trait) {
+func (t *Table) RecordHarmless(now, began time.Time, traits []Trait) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, trait := range traits {
 		if trait.Depth != contentDepth {
-			t.sound.add(began, trait.Key)
+			t.harmless.add(began, trait.Key)
 		}
 		if s := t.suspects[trait.Key]; s != nil && s.clear(began) {
 			t.noteChange(now, s, true)
@@ -112,10 +112,10 @@
 	if s == nil || len(s.crashes) < s.crashLimit() {
 		return 0
 	}
-	if !t.verdict.valid(now) {
-		t.verdict = blame(now, t.suspects)
+	if !t.attribution.valid(now) {
+		t.attribution = attribute(now, t.suspects)
 	}
-	if !t.verdict.blamed[k] {
+	if !t.attribution.causes[k] {
 		return 0
 	}
 	turn := route.UnitFraction(route.Hash(string(t.host), strconv.FormatUint(uint64(k), 16)))
@@ -133,7 +133,7 @@
 	if s == nil && len(t.suspects) >= maxSuspects {
 		t.makeRoom(now)
 	}
-	s = &suspect{depth: trait.Depth, soundAt: t.sound.last(trait.Key)}
+	s = &suspect{depth: trait.Depth, harmlessAt: t.harmless.last(trait.Key)}
 	t.suspects[trait.Key] = s
 	return s
 }
@@ -141,10 +141,10 @@
 // noteChange records that a suspect has changed, by what this host observed or by what
 // it was told. t.mu must be held.
 func (t *Table) noteChange(now time.Time, s *suspect, observed bool) {
-	untold := s.news.observed && s.news.told == 0
-	s.news = news{since: now, observed: observed || untold}
-	t.verdict = verdict{}
-	t.hasNews = true
+	unsent := s.update.observed && s.update.sent == 0
+	s.update = update{since: now, observed: observed || unsent}
+	t.attribution = attribution{}
+	t.hasUpdates = true
 	select {
 	case t.changed <- struct{}{}:
 	default:
@@ -173,7 +173,7 @@
 	for k, s := range t.suspects {
 		if !now.Before(s.expires()) {
 			delete(t.suspects, k)
-			t.verdict = verdict{}
+			t.attribution = attribution{}
 		}
 	}
 }
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -34,11 +34,11 @@
 	if a.QuarantineLeft(start, content) != 0 || b.QuarantineLeft(start, content) != 0 {
 		t.Error("refused after one crash")
 	}
-	told := b.News(start)[0]
+	told := b.NextUpdates(start)[0]
 	if !a.Merge(start, told) || a.Merge(start, told) {
 		t.Error("Merge did not distinguish a new crash from a known one")
 	}
-	mergeAll(b, start, a.News(start))
+	mergeAll(b, start, a.NextUpdates(start))
 	if got := a.QuarantineLeft(start, content); got < Duration || got > Duration+trialSpread {
 		t.Errorf("the first host refuses it for %v", got)
 	}
@@ -59,10 +59,10 @@
 	a.RecordCrash(start, k, upstream("u1"))
 	now := start
 	for ; now.Sub(start) < time.Hour; now = now.Add(10 * time.Second) {
-		toB := a.News(now)
+		toB := a.NextUpdates(now)
 		now = now.Add(50 * time.Millisecond)
 		mergeAll(b, now, toB)
-		mergeAll(a, now, b.News(now))
+		mergeAll(a, now, b.NextUpdates(now))
 	}
 	if s, _ := a.Counts(now); s > 0 {
 		t.Error("a single crash never expires at the first host")
@@ -95,7 +95,7 @@
 	table := NewTable("a")
 	k := TraitsOf(&call.Request{Target: "/x"})
 	table.RecordCrash(start, k, upstream("u1"))
-	table.RecordSound(start.Add(time.Second), start.Add(time.Second), k)
+	table.RecordHarmless(start.Add(time.Second), start.Add(time.Second), k)
 	later := start.Add(2 * time.Second)
 	table.RecordCrash(later, k, upstream("u2"))
 	if table.QuarantineLeft(later, k) != 0 {
@@ -145,7 +145,7 @@
 			table.RecordCrash(now, deadly, upstream(plan.UpstreamID(fmt.Sprintf("u%d-%d", crashes, i))))
 		}
 		for _, from := range tables {
-			told := from.News(now)
+			told := from.NextUpdates(now)
 			for _, to := range tables {
 				mergeAll(to, now, told)
 			}
@@ -167,7 +167,7 @@
 	for i := range 8 {
 		now = now.Add(suspectTTL - time.Minute)
 		table.RecordCrash(now, content(7), upstream(plan.UpstreamID(fmt.Sprintf("u%d", i))))
-		for _, s := range table.News(now.Add(suspectTTL - time.Second))[0] {
+		for _, s := range table.NextUpdates(now.Add(suspectTTL - time.Second))[0] {
 			if !s.Valid() {
 				t.Errorf("after %d crashes: %+v", i+1, s)
 			}
--- a/quarantine/news.go
+++ b/quarantine/update.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// maxTold is how often a host tells each change, so that a few lost messages
+	// maxSends is how often a host sends each change, so that a few lost messages
 	// don't matter.
-	maxTold = 5
+	maxSends = 5
 	// maxBatchBytes bounds the encoded suspects of one message, so that it fits into
 	// one frame of most networks.
 	maxBatchBytes = 900
@@ -19,8 +19,8 @@
 	crashBytes   = 16
 	// maxBatches bounds the messages that carry suspects at once.
 	maxBatches = 3
-	// contradictInterval is the minimum time between two times that a host tells of a
-	// sound suspect because others count older crashes against it.
+	// contradictInterval is the minimum time between two updates on a harmless suspect
+	// that a host sends because others count older crashes against it.
 	contradictInterval = 300 * time.Millisecond
 	// minTimeLeft is the time for which a suspect must still be kept to be taken over
 	// from another host. Otherwise two hosts could keep reminding each other of one
@@ -33,9 +33,9 @@
 	_     struct{} `cbor:",toarray"`
 	Key   Key
 	Depth Depth
-	// SoundAgeMillis is the time since the last request with the trait began that did not
+	// HarmlessAgeMillis is the time since the last request with the trait began that did not
 	// crash its upstream, or zero if none is known.
-	SoundAgeMillis int64
+	HarmlessAgeMillis int64
 	// Crashes are those since then.
 	Crashes []Crash
 }
@@ -51,10 +51,10 @@
 
 // Valid reports whether a suspect that was received makes sense.
 func (s *Suspect) Valid() bool {
-	if s.Key == 0 || s.Depth < 1 || s.Depth > contentDepth || s.SoundAgeMillis < 0 || len(s.Crashes) > maxCrashes {
+	if s.Key == 0 || s.Depth < 1 || s.Depth > contentDepth || s.HarmlessAgeMillis < 0 || len(s.Crashes) > maxCrashes {
 		return false
 	}
-	if len(s.Crashes) == 0 && s.SoundAgeMillis == 0 {
+	if len(s.Crashes) == 0 && s.HarmlessAgeMillis == 0 {
 		return false
 	}
 	// The oldest crash may be suspectTTL older than the last, which may be as old.
@@ -62,17 +62,17 @@
 	return !slices.ContainsFunc(s.Crashes, func(c Crash) bool { return c.AgeMillis < 0 || c.AgeMillis > maxAge.Milliseconds() })
 }
 
-// news tells what other hosts have yet to hear of a suspect.
-type news struct {
+// update tracks what other hosts have yet to be sent of a suspect.
+type update struct {
 	// since is when this host learned what it has to tell.
 	since time.Time
-	// told counts the messages that carried it.
-	told int
+	// sent counts the messages that carried it.
+	sent int
 	// observed is set if this host saw it itself, and no other host tells it.
 	observed bool
 }
 
-// Changed returns a channel that signals that there is something new to tell.
+// Changed returns a channel that signals that there are unsent updates.
 func (t *Table) Changed() <-chan struct{} { return t.changed }
 
 // Merge adds the suspects that another host tells. It reports whether that changed what
@@ -91,22 +91,22 @@
 		case s.merge(other):
 			t.noteChange(now, s, false)
 			changed = true
-		case s.contradicts(other) && now.Sub(s.news.since) >= contradictInterval:
+		case s.contradicts(other) && now.Sub(s.update.since) >= contradictInterval:
 			t.noteChange(now, s, true)
 		}
 	}
 	return changed
 }
 
-// contradicts reports whether a request with the trait has been sound since a crash that
+// contradicts reports whether a request with the trait was harmless after a crash that
 // another host counts.
 func (s *suspect) contradicts(other suspect) bool {
-	return slices.ContainsFunc(other.crashes, func(c observedCrash) bool { return !c.at.After(s.soundAt) })
+	return slices.ContainsFunc(other.crashes, func(c observedCrash) bool { return !c.at.After(s.harmlessAt) })
 }
 
 // merge adds what another host knows. It reports whether that changed the crashes.
 func (s *suspect) merge(other suspect) bool {
-	changed := s.clear(other.soundAt)
+	changed := s.clear(other.harmlessAt)
 	for _, c := range other.crashes {
 		changed = s.addCrash(c) || changed
 	}
@@ -116,8 +116,8 @@
 // suspect returns the suspect as this host would keep it.
 func (s *Suspect) suspect(now time.Time) suspect {
 	out := suspect{depth: s.Depth}
-	if s.SoundAgeMillis > 0 {
-		out.soundAt = timeBefore(now, s.SoundAgeMillis)
+	if s.HarmlessAgeMillis > 0 {
+		out.harmlessAt = timeBefore(now, s.HarmlessAgeMillis)
 	}
 	for _, c := range s.Crashes {
 		out.crashes = append(out.crashes, observedCrash{id: c.ID, at: timeBefore(now, c.AgeMillis)})
@@ -135,45 +135,45 @@
 	return max(0, now.Sub(t)+time.Millisecond-1).Milliseconds()
 }
 
-// Headlines returns suspects that were not told yet, to be sent at once: all of them,
+// UnsentUpdates returns suspects that were not sent yet since they changed: all of them,
 // or only those that this host observed. Each batch fits into one message.
-func (t *Table) Headlines(now time.Time, onlyObserved bool) [][]Suspect {
-	return t.take(now, func(s *suspect) bool { return s.news.told == 0 && (s.news.observed || !onlyObserved) })
+func (t *Table) UnsentUpdates(now time.Time, onlyObserved bool) [][]Suspect {
+	return t.take(now, func(s *suspect) bool { return s.update.sent == 0 && (s.update.observed || !onlyObserved) })
 }
 
-// News returns the suspects to tell next: of those that were told less than maxTold
-// times since they changed, the ones that were told least, and of these the newest. So
-// old suspects, however many, can't hold up a new one. Each batch fits into one message.
-func (t *Table) News(now time.Time) [][]Suspect {
-	return t.take(now, func(s *suspect) bool { return s.news.told < maxTold })
+// NextUpdates returns the suspects to send next: of those that were sent less than
+// maxSends times since they changed, the ones that were sent least often, and of these
+// the newest. So old suspects, however many, can't hold up a new one. Each batch fits into one message.
+func (t *Table) NextUpdates(now time.Time) [][]Suspect {
+	return t.take(now, func(s *suspect) bool { return s.update.sent < maxSends })
 }
 
 // take returns up to maxBatches batches of the suspects that match, and counts that they
-// are told.
+// are sent.
 func (t *Table) take(now time.Time, match func(*suspect) bool) [][]Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.hasNews {
+	if !t.hasUpdates {
 		return nil
 	}
 	t.expire(now)
-	t.hasNews = false
+	t.hasUpdates = false
 	var keys []Key
 	for k, s := range t.suspects {
-		t.hasNews = t.hasNews || s.news.told < maxTold
+		t.hasUpdates = t.hasUpdates || s.update.sent < maxSends
 		if match(s) {
 			keys = append(keys, k)
 		}
 	}
 	slices.SortFunc(keys, func(a, b Key) int {
-		x, y := t.suspects[a].news, t.suspects[b].news
-		return cmp.Or(cmp.Compare(x.told, y.told), y.since.Compare(x.since), cmp.Compare(a, b))
+		x, y := t.suspects[a].update, t.suspects[b].update
+		return cmp.Or(cmp.Compare(x.sent, y.sent), y.since.Compare(x.since), cmp.Compare(a, b))
 	})
 	var out [][]Suspect
 	for len(keys) > 0 && len(out) < maxBatches {
 		batch := t.batch(now, keys)
 		for _, s := range batch {
-			t.suspects[s.Key].news.told++
+			t.suspects[s.Key].update.sent++
 		}
 		out = append(out, batch)
 		keys = keys[len(batch):]
@@ -182,7 +182,7 @@
 }
 
 // Reminders returns suspects in quarantine, other ones with each call, for hosts that
-// have started or were out of reach since they were told of.
+// have started or were out of reach when they were sent.
 func (t *Table) Reminders(now time.Time) []Suspect {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -215,8 +215,8 @@
 			break
 		}
 		told := Suspect{Key: k, Depth: s.depth}
-		if !s.soundAt.IsZero() {
-			told.SoundAgeMillis = max(1, millisSince(now, s.soundAt))
+		if !s.harmlessAt.IsZero() {
+			told.HarmlessAgeMillis = max(1, millisSince(now, s.harmlessAt))
 		}
 		for _, c := range s.crashes {
 			told.Crashes = append(told.Crashes, Crash{ID: c.id, AgeMillis: millisSince(now, c.at)})
