Quarantine the beginning of prompts that crashes upstreams in the product's own interface

Three crashes count, half a second apart and each under another content, with no request of that prefix granted and finished after them; the prefix is then refused for a minute. Schedulers see all runs of their pool, so they need no exchange for that.

--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -123,7 +123,7 @@
 		if it == nil {
 			return nil
 		}
-		if left := s.suspects.QuarantineLeft(now, it.req.Content); left > 0 {
+		if left := s.quarantineLeft(now, &it.req); left > 0 {
 			q.remove(it)
 			s.refuseItem(it, Quarantined, left)
 			continue
@@ -175,7 +175,7 @@
 // another request or none.
 func (s *Scheduler) admitFloorSlot(now time.Time, q *tierQueue) bool {
 	it := q.floorSlot
-	if left := s.suspects.QuarantineLeft(now, it.req.Content); left > 0 {
+	if left := s.quarantineLeft(now, &it.req); left > 0 {
 		q.floorSlot = nil
 		s.fillFloorSlot(now, q)
 		s.refuseItem(it, Quarantined, left)
--- a/pool/event.go
+++ b/pool/event.go
@@ -204,7 +204,8 @@
 	QueueFull Reason = "queue-full"
 	// NoUpstream means that the pool has no upstream that takes new work.
 	NoUpstream Reason = "no-upstream"
-	// Quarantined means that the request crashed two upstreams.
+	// Quarantined means that the request crashed two upstreams, or that requests which
+	// begin alike crashed three.
 	Quarantined Reason = "quarantined"
 )
 
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -69,6 +69,7 @@
 	// are running it.
 	unproven   map[ContentHash][]*backend
 	suspects   *Suspects
+	prefixes   crashingPrefixes
 	predictor  predictor
 	quarantine time.Duration
 	// holdUntil is the time until which a new scheduler grants nothing, since it
@@ -98,6 +99,7 @@
 		runs:       map[RequestID]*run{},
 		unproven:   map[ContentHash][]*backend{},
 		suspects:   suspects,
+		prefixes:   newCrashingPrefixes(),
 		predictor:  predictor{histograms: map[histogramKey]*lengthHistogram{}},
 		quarantine: plan.DefaultQuarantine,
 		slotRate:   initialSlotRate,
@@ -158,7 +160,7 @@
 		// The host submits it again because the reply with its grant was lost.
 		s.removeRun(req.ID, r)
 	}
-	if left := s.suspects.QuarantineLeft(now, req.Content); left > 0 {
+	if left := s.quarantineLeft(now, req); left > 0 {
 		s.refuse(req.ID, Quarantined, left)
 		return
 	}
@@ -174,6 +176,11 @@
 	s.fillFloorSlot(now, q)
 }
 
+// quarantineLeft returns how long requests like this are still refused, or zero.
+func (s *Scheduler) quarantineLeft(now time.Time, req *Request) time.Duration {
+	return max(s.suspects.QuarantineLeft(now, req.Content), s.prefixes.quarantineLeft(now, req.Prefix))
+}
+
 // newItem returns a queue item for a request. It reuses a recycled one if there
 // is any.
 func (s *Scheduler) newItem(now time.Time, req *Request) *item {
@@ -284,6 +291,7 @@
 	case Crashed:
 		b.markDown(now)
 		s.suspects.RecordCrash(now, r.req.Content, Crash{Upstream: b.id, Instance: e.Instance}, s.quarantine)
+		s.prefixes.recordCrash(now, &r.req, e.Instance)
 	case Stalled:
 		b.markDown(now)
 	case Refused:
@@ -298,6 +306,7 @@
 func (s *Scheduler) recordFinished(now time.Time, r *run, e *Ended) {
 	s.predictor.add(&r.req, e.Output)
 	s.suspects.RecordFinished(r.req.Content)
+	s.prefixes.recordFinished(r.req.Prefix, r.grantedAt)
 	if runSeconds := now.Sub(r.grantedAt).Seconds(); runSeconds > 0 && e.Output > 0 {
 		rate := (float64(e.Output) + workPerPromptToken*float64(r.req.Prompt)) / runSeconds
 		s.slotRate += 0.05 * (rate - s.slotRate)
@@ -420,6 +429,7 @@
 // stragglers.
 func (s *Scheduler) handleTicked(now time.Time) {
 	s.suspects.Expire(now)
+	s.prefixes.expire(now)
 	s.dropUnlisted()
 	elapsed := now.Sub(s.lastMeasured)
 	for _, q := range s.tiers[1:] {
