--- a/gossip/crashpart_test.go
+++ b/gossip/crashpart_test.go
@@ -34,15 +34,17 @@
 	*simFleet
 	engines []*simEngine
 	crashes int
-	// fifthCrash is when the fifth engine crashed.
-	fifthCrash time.Time
-	// lateBad counts the bad requests sent over knowsWithin after fifthCrash. sound and
+	// crashesUntilKnown is the number of crashes from which all hosts must refuse bad
+	// requests, and knownAt when that many engines had crashed.
+	crashesUntilKnown int
+	knownAt           time.Time
+	// lateBad counts the bad requests sent over knowsWithin after knownAt. sound and
 	// refused count the sound ones, and those of them that were refused.
 	lateBad, sound, refused int
 }
 
 func newCrashDay(t *testing.T, domains, hostsPerDomain, engines int) *crashDay {
-	d := &crashDay{simFleet: newSimFleet(t, domains, hostsPerDomain, 10, 0.05)}
+	d := &crashDay{simFleet: newSimFleet(t, domains, hostsPerDomain, 10, 0.05), crashesUntilKnown: 5}
 	for range engines {
 		d.engines = append(d.engines, &simEngine{})
 	}
@@ -62,10 +64,16 @@
 	}
 }
 
+// send sends a request with a part in its prompt that others share.
 func (d *crashDay) send(part string, bad bool) {
-	h, e := d.hosts[d.random.IntN(len(d.hosts))], d.engines[d.random.IntN(len(d.engines))]
 	own := fmt.Sprint(d.random.Uint64())
-	r := &call.Request{Body: []byte(own), Prompt: call.Prompt{Parts: []call.PromptPart{{ID: "rules"}, {ID: part}, {ID: own}}}}
+	d.sendRequest(&call.Request{Body: []byte(own), Prompt: call.Prompt{Parts: []call.PromptPart{{ID: "rules"}, {ID: part}, {ID: own}}}}, bad)
+}
+
+// sendRequest sends a request to a random host, which sends it to a random engine unless
+// it refuses it.
+func (d *crashDay) sendRequest(r *call.Request, bad bool) {
+	h, e := d.hosts[d.random.IntN(len(d.hosts))], d.engines[d.random.IntN(len(d.engines))]
 	refused := h.Quarantine.QuarantineLeft(d.now, quarantine.TraitsOf(r)) > 0
 	if !bad {
 		d.sound++
@@ -76,7 +84,7 @@
 	if refused || e.downFor > 0 {
 		return
 	}
-	if bad && !d.fifthCrash.IsZero() && d.now.Sub(d.fifthCrash) >= knowsWithin {
+	if bad && !d.knownAt.IsZero() && d.now.Sub(d.knownAt) >= knowsWithin {
 		d.lateBad++
 	}
 	begin := d.now.Add(50 * time.Millisecond)
@@ -112,8 +120,8 @@
 		r.host.Quarantine.RecordCrash(d.now, traits, u)
 	}
 	e.runs, e.downFor = nil, 3*time.Second
-	if d.crashes++; d.crashes == 5 {
-		d.fifthCrash = d.now
+	if d.crashes++; d.crashes == d.crashesUntilKnown {
+		d.knownAt = d.now
 	}
 }
 
@@ -127,7 +135,7 @@
 			soundPerSecond := 4 * float64(size.engines)
 			d.run(4*time.Second, func() { d.step(soundPerSecond, 0) })
 			d.run(12*time.Second, func() { d.step(soundPerSecond, 8) })
-			if d.fifthCrash.IsZero() && d.crashes < 3 {
+			if d.knownAt.IsZero() && d.crashes < 3 {
 				t.Fatalf("only %d engines crashed", d.crashes)
 			}
 			if d.lateBad > 3 {
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"flag"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -50,9 +51,12 @@
 
 const simStep = 10 * time.Millisecond
 
+// simSeed selects the random numbers of simulated fleets.
+var simSeed = flag.Uint64("sim-seed", 1, "seed of simulated fleets")
+
 // newSimFleet returns a fleet whose hosts know only the first host of each domain.
 func newSimFleet(t *testing.T, domains, hostsPerDomain, upstreams int, loss float64) *simFleet {
-	f := &simFleet{t: t, now: start, random: rand.New(rand.NewPCG(1, 2)), loss: loss, byAddr: map[netip.Addr]*simHost{}}
+	f := &simFleet{t: t, now: start, random: rand.New(rand.NewPCG(*simSeed, 2)), loss: loss, byAddr: map[netip.Addr]*simHost{}}
 	var seeds []netip.AddrPort
 	for d := range domains {
 		seeds = append(seeds, netip.AddrPortFrom(simAddr(d, 0), 1))
