Log the rates at which upstreams say that they take requests

The header is decoded in platform/, into a rate that checks itself: values that are not finite, negative or huge are ignored, zero counts as the lowest rate, of several values the strictest counts, and each of these is logged. A statement counts from the sending of its request to the arrival of its answer, so that an answer that was long under way does not lift a newer, stricter limit. Nothing acts on the limits yet.

TestAnnouncedRates; the tests of gateway, platform and edge pass.

--- a/call/call.go
+++ b/call/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mulberrydyke/plan"
+	"mulberrydyke/ratelimit"
 )
 
 // RequestID is the identifier that a caller gives to a request. If the caller
@@ -122,6 +123,8 @@
 	// KeepAliveTimeout is how long the upstream keeps the connection open while it
 	// is idle. Zero means that the upstream does not say.
 	KeepAliveTimeout time.Duration
+	// RateLimit is what the upstream says of the rate at which it takes requests.
+	RateLimit ratelimit.Announcement
 }
 
 // Dialect translates between HTTP messages and the types of this package.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -27,6 +27,7 @@
 	"mulberrydyke/plan"
 	"mulberrydyke/platform"
 	"mulberrydyke/quarantine"
+	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 	"mulberrydyke/setting"
 )
@@ -71,6 +72,7 @@
 	connPools    *gateway.ConnPools
 	retryBudget  *gateway.RetryBudget
 	quarantine   *quarantine.Table
+	rateLimits   *ratelimit.Table
 	gateway      *gateway.Server
 	reader       *platform.Reader
 	gossipNode   *gossip.Node
@@ -116,8 +118,9 @@
 	h.cleanups = append(h.cleanups, cleanup)
 	h.retryBudget = gateway.NewRetryBudget(s.Bounds, h.budgetHostCount, h.balancer)
 	h.quarantine = quarantine.NewTable(s.ID)
+	h.rateLimits = ratelimit.NewTable()
 	h.gateway = gateway.NewServer(gateway.Options{
-		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine,
+		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine, RateLimits: h.rateLimits,
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	watchWait := time.Duration(watchWaitFactor * float64(s.Bounds.MaxApplyDelay))
@@ -216,6 +219,7 @@
 		_, quarantined := h.quarantine.Counts(time.Now())
 		return float64(quarantined)
 	})
+	h.metrics.NewGauge("mulberrydyke_rate_limited_upstreams", func() float64 { return float64(h.rateLimits.Count(time.Now())) })
 	h.metrics.NewGauge("mulberrydyke_table_version", func() float64 {
 		table, _ := h.Versions()
 		return float64(table)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -216,6 +216,7 @@
 	}
 	x.endedWithConn = upstreamEx.EndsWithConn()
 	head := upstreamEx.Head
+	x.recordRateLimit(lease, head)
 	if head.NotExecuted {
 		x.discardBody(upstreamEx, lease)
 		result := dispatch.Refused
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
+	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 )
 
@@ -37,6 +38,8 @@
 	RetryBudget *RetryBudget
 	// Quarantine holds the request contents that crash upstreams.
 	Quarantine *quarantine.Table
+	// RateLimits holds the rates at which upstreams take requests.
+	RateLimits *ratelimit.Table
 	// Table returns the table in force, or nil while none is known.
 	Table func() *route.Table
 	// LookupUpstream returns an upstream as it is listed now, or nil.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"mulberrydyke/plan"
 	"mulberrydyke/platform"
 	"mulberrydyke/quarantine"
+	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 	"mulberrydyke/setting"
 )
@@ -211,6 +212,7 @@
 	bounds := setting.EdgeBounds{RetryRatio: 1, RetryWindow: 10 * time.Second, RetryExtra: 100}
 	f.server = NewServer(Options{
 		Dialect: platform.Dialect{}, Balancer: f.balancer, ConnPools: connPools, RetryBudget: NewRetryBudget(bounds, func() int { return 1 }, f.balancer), Quarantine: quarantine.NewTable("h"),
+		RateLimits: ratelimit.NewTable(),
 		Table: func() *route.Table {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- /dev/null
+++ b/ratelimit/rate.go
@@ -0,0 +1,65 @@
+// Package ratelimit keeps the requests of all hosts together within the rates that
+// upstreams announce. A Table holds what upstreams said of their limits, wherever it was
+// heard.
+//
+// Nothing here has a clock or does I/O: the current time is an argument.
+package ratelimit
+
+import (
+	"fmt"
+	"math"
+)
+
+// Rate is a number of requests per second that an upstream takes from all hosts together.
+type Rate float64
+
+// NoLimit is the rate of an upstream that announces none.
+const NoLimit Rate = 0
+
+const (
+	// minRate replaces lower rates. A request now and then has to go to the upstream,
+	// since only its answers tell that the limit has ended.
+	minRate Rate = 0.2
+	// maxRate is the highest rate that counts as a limit.
+	maxRate Rate = 100_000
+)
+
+// RateError reports an announced rate that can't be used.
+type RateError struct {
+	// PerSecond is the announced number.
+	PerSecond float64
+	Reason    string
+}
+
+func (e *RateError) Error() string { return fmt.Sprintf("rate limit %v: %s", e.PerSecond, e.Reason) }
+
+// NewRate returns the rate for an announced number of requests per second. Numbers below
+// minRate, zero included, count as minRate. It returns a *RateError for numbers that are
+// negative, infinite or above maxRate.
+func NewRate(perSecond float64) (Rate, error) {
+	switch {
+	case math.IsNaN(perSecond) || math.IsInf(perSecond, 0):
+		return NoLimit, &RateError{PerSecond: perSecond, Reason: "not a finite number"}
+	case perSecond < 0:
+		return NoLimit, &RateError{PerSecond: perSecond, Reason: "negative"}
+	case perSecond > float64(maxRate):
+		return NoLimit, &RateError{PerSecond: perSecond, Reason: "too high"}
+	}
+	return max(minRate, Rate(perSecond)), nil
+}
+
+// stricter reports whether a rate lets fewer requests through than another.
+func (r Rate) stricter(other Rate) bool {
+	return r != NoLimit && (other == NoLimit || r < other)
+}
+
+// Announcement is what the head of one response says of its upstream's limit.
+type Announcement struct {
+	// Rate is the announced rate, or NoLimit.
+	Rate Rate
+	// Problem tells why the announcement is malformed or doubtful. It is nil otherwise.
+	Problem error
+	// Unusable is set if the announcement says nothing of the limit, neither that there is
+	// one nor that there is none.
+	Unusable bool
+}
