--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -17,13 +17,19 @@
 	"mulberrydyke/setting"
 )
 
-// newStore starts a fake of the platform's store that publishes one route and one
-// upstream, and returns its address.
-func newStore(t *testing.T, upstream string) netip.AddrPort {
+// streamTable is a routing table with one route for streams.
+const streamTable = `{"version":1,"routes":[{"name":"r","host":"127.0.0.4","prefix":"/","kind":"streaming","timeoutMs":5000,"service":"pool"}]}`
+
+// newStore starts a fake of the platform's store that publishes a table and upstreams
+// with the given addresses, and returns its address.
+func newStore(t *testing.T, table string, upstreams ...string) netip.AddrPort {
 	t.Helper()
-	table := `{"version":1,"routes":[{"name":"r","host":"127.0.0.4","prefix":"/","kind":"streaming","timeoutMs":5000,"service":"pool"}]}`
-	serverEntry := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1}`, upstream)
-	listing := fmt.Sprintf(`{"items":[{"key":"op/config","value":%q,"revision":1},{"key":"servers/u1","value":%q,"revision":2}],"asOf":2}`, encodeBase64(table), encodeBase64(serverEntry))
+	items := fmt.Sprintf(`{"key":"op/config","value":%q,"revision":1}`, encodeBase64(table))
+	for i, address := range upstreams {
+		entry := fmt.Sprintf(`{"service":"pool","address":%q,"zone":"a","version":"v","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1}`, address)
+		items += fmt.Sprintf(`,{"key":"servers/u%d","value":%q,"revision":2}`, i+1, encodeBase64(entry))
+	}
+	listing := fmt.Sprintf(`{"items":[%s],"asOf":2}`, items)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/kv-watch" {
 			time.Sleep(20 * time.Millisecond)
@@ -88,7 +94,7 @@
 	ports := freePorts(t, 4)
 	h, cleanup, err := Start(setting.Edge{
 		ID: "h", Domain: "a", IP: ip, Callers: netip.AddrPortFrom(ip, ports[0]), Readiness: netip.AddrPortFrom(ip, ports[1]),
-		Peers: netip.AddrPortFrom(ip, ports[2]), GossipPort: ports[3], Platform: newStore(t, upstream), Cores: 2, MemoryBytes: 1 << 30,
+		Peers: netip.AddrPortFrom(ip, ports[2]), GossipPort: ports[3], Platform: newStore(t, streamTable, upstream), Cores: 2, MemoryBytes: 1 << 30,
 		Bounds: setting.EdgeBounds{StopGracePeriod: 20 * time.Second, MaxApplyDelay: 2 * time.Second, RetryWindow: time.Second, PrefixReuseWindow: time.Second},
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
