Keep all hosts together within the rate that an upstream names

Cause: what an upstream says to one host stays there, and nothing acted on it. So the limit has to reach all hosts, and one number has to be kept by all of them without a coordinator.

The rate is divided into up to three parts, in as many failure domains. In each of them the host that rendezvous hashing names, over all hosts seen lately, gives out permits for its part: a token bucket that starts empty, not before 4 s after the start of its process. A host that wants to send asks the holder in its own domain first, then the others; what was denied is not asked again until the holder says so, and holders spread the asks. No part grows while hosts or domains can't be heard: hosts that can't be reached still count, and domains come from the settings. More urgent requests get permits first, and one in eight goes to the class that has waited longest. A request for which all upstreams are at their limits waits for a permit, or is refused with the time at which one may be had; it has not run.

Every attempt takes a permit: first sends, retries, resumed streams, calls. There are no health checks. A permit is asked for after the upstream was chosen, so an upstream without one costs no other request anything.

Statements travel in messages of their own, at once when a rate changes and again as reminders. The protocol's version goes up.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -65,6 +65,9 @@
 	Prompt  *call.Prompt
 	// Exclude lists upstreams that must not be chosen.
 	Exclude []plan.UpstreamID
+	// Throttled reports whether an upstream takes no request now, because its rate is
+	// limited. It is nil if none is.
+	Throttled func(*route.Upstream) bool
 	// LatencyTarget is the latency within which the response is on time.
 	LatencyTarget time.Duration
 	// Urgency is the request's urgency at an engine, from 0 (most urgent) to 9.
@@ -149,11 +152,14 @@
 	Broken
 	// Abandoned means that the caller disconnected or its deadline passed.
 	Abandoned
+	// Unsent means that the request was not sent after all, which says nothing about the
+	// upstream.
+	Unsent
 )
 
 // String returns the name of the result that logs use.
 func (r Result) String() string {
-	return [...]string{"done", "failed", "refused", "misdirected", "unreachable", "broken", "abandoned"}[r]
+	return [...]string{"done", "failed", "refused", "misdirected", "unreachable", "broken", "abandoned", "unsent"}[r]
 }
 
 // Balancer holds the load and the measurements that upstreams are chosen by. It
@@ -303,6 +309,9 @@
 		if skip && !includeEjected || t.atCapacity(s) {
 			continue
 		}
+		if q.Throttled != nil && q.Throttled(t.upstream) {
+			continue
+		}
 		found.candidates++
 		uncached, rank := 0, slices.Index(preferred, i)
 		if class != ClassPlain {
@@ -355,7 +364,7 @@
 	}
 	l.released = true
 	l.target.release(now, l, r)
-	if r == Refused || r == Misdirected || r == Unreachable {
+	if r == Refused || r == Misdirected || r == Unreachable || r == Unsent {
 		b.prefixes.forget(l.Upstream.ID, l.prompt)
 	}
 }
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -245,6 +245,8 @@
 		if t.brokenConnections >= maxBrokenConnections {
 			t.eject(now)
 		}
+	case Unsent:
+		t.localLoad.arrivalRate = max(0, t.localLoad.arrivalRate-float64(l.UncachedTokens)/arrivalWindow.Seconds())
 	case Abandoned:
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -72,7 +72,7 @@
 	connPools    *gateway.ConnPools
 	retryBudget  *gateway.RetryBudget
 	quarantine   *quarantine.Table
-	rateLimits   *ratelimit.Table
+	rateLimits   *ratelimit.Limiter
 	gateway      *gateway.Server
 	reader       *platform.Reader
 	gossipNode   *gossip.Node
@@ -118,9 +118,9 @@
 	h.cleanups = append(h.cleanups, cleanup)
 	h.retryBudget = gateway.NewRetryBudget(s.Bounds, h.budgetHostCount, h.balancer)
 	h.quarantine = quarantine.NewTable(s.ID)
-	h.rateLimits = ratelimit.NewTable()
+	h.rateLimits = ratelimit.NewLimiter(h.startedAt, s.IP, s.Domain, s.Domains)
 	h.gateway = gateway.NewServer(gateway.Options{
-		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine, RateLimits: h.rateLimits,
+		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine, RateLimits: h.rateLimits, Permits: permits{h},
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	watchWait := time.Duration(watchWaitFactor * float64(s.Bounds.MaxApplyDelay))
@@ -140,7 +140,7 @@
 	s := h.settings
 	node, cleanup, err := gossip.Listen(gossip.Options{
 		Host: s.ID, Domain: s.Domain, Incarnation: rand.Uint64() | 1, IP: s.IP, DatagramPort: s.GossipPort, RPCAddr: s.Peers, Seeds: s.Seeds,
-		Balancer: h.balancer, Quarantine: h.quarantine, Lists: h, Log: h.log, Now: time.Now,
+		Balancer: h.balancer, Quarantine: h.quarantine, Limiter: h.rateLimits, Lists: h, Log: h.log, Now: time.Now,
 	})
 	if err != nil {
 		return err
@@ -150,6 +150,14 @@
 	return nil
 }
 
+// permits implements gateway.Permits by the node, which is built after the gateway.
+type permits struct{ host *Host }
+
+// AcquirePermit implements gateway.Permits.
+func (p permits) AcquirePermit(ctx context.Context, u *route.Upstream, urgency int) bool {
+	return p.host.gossipNode.AcquirePermit(ctx, u, urgency)
+}
+
 // discoveryTime is how long after its start a host may not know all other hosts yet.
 const discoveryTime = 3 * time.Second
 
--- a/edge/ratelimit_test.go
+++ b/edge/ratelimit_test.go
@@ -87,7 +87,7 @@
 	for i := range hosts {
 		ip := netip.AddrFrom4([4]byte{127, 0, 0, byte(11 + i)})
 		_, cleanup, err := Start(setting.Edge{
-			ID: plan.HostID(fmt.Sprintf("h%d", i)), Domain: domains[i%len(domains)], Domains: len(domains), IP: ip,
+			ID: plan.HostID(fmt.Sprintf("h%d", i)), Domain: domains[i%len(domains)], Domains: domains, IP: ip,
 			Callers: netip.AddrPortFrom(ip, ports[0]), Readiness: netip.AddrPortFrom(ip, ports[1]), Peers: netip.AddrPortFrom(ip, ports[2]),
 			GossipPort: ports[3], Seeds: []netip.AddrPort{seed}, Platform: store, Cores: 2, MemoryBytes: 1 << 30,
 			Bounds: setting.EdgeBounds{StopGracePeriod: time.Second, MaxApplyDelay: 2 * time.Second, RetryWindow: time.Second, PrefixReuseWindow: time.Second},
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -94,6 +94,9 @@
 	// attemptMayHaveRun means that the request may have run and has no usable
 	// response, so that it may be retried only if its route is retryable.
 	attemptMayHaveRun
+	// attemptPostponed means that nothing was sent, and that the request has waited until an
+	// upstream may take it.
+	attemptPostponed
 )
 
 // run attempts the request at one upstream after another until the caller has a
@@ -103,6 +106,9 @@
 	x.server.RetryBudget.RecordFirstAttempt(x.request.ReceivedAt, x.service)
 	for attempts := 1; ; attempts++ {
 		result := x.attempt(ctx)
+		for result == attemptPostponed {
+			result = x.attempt(ctx)
+		}
 		if result == attemptFinal {
 			return
 		}
@@ -133,20 +139,14 @@
 		x.retryAfter = left
 		return x.refuse(0, "a request like this crashed upstreams")
 	}
-	service := x.table.Services[x.service]
-	if service == nil {
-		service = &route.Service{ID: x.service}
+	lease, err := x.acquire(ctx)
+	var throttled *throttledError
+	if errors.As(err, &throttled) && x.awaitPermit(ctx, throttled.Until) {
+		return attemptPostponed
 	}
-	lease, err := server.Balancer.Acquire(server.Now(), dispatch.Query{
-		Service: x.service, Prompt: &x.request.Prompt, Exclude: x.tried, LatencyTarget: x.route.LatencyTarget,
-		Urgency: dispatch.Urgency(x.route, x.account), Retryable: x.route.Retryable(), Jitter: rand.Float64(),
-	}, service)
 	if err != nil {
 		x.cause = err.Error()
-		var overload *dispatch.OverloadError
-		if errors.As(err, &overload) {
-			x.retryAfter = overload.RetryAfter
-		}
+		x.setRetryAfter(err)
 		x.giveUp(ctx)
 		return attemptFinal
 	}
@@ -165,6 +165,18 @@
 	return x.send(ctx, lease, conn)
 }
 
+// setRetryAfter sets when the caller of a request that got no upstream may come back.
+func (x *exchange) setRetryAfter(err error) {
+	var overload *dispatch.OverloadError
+	var throttled *throttledError
+	switch {
+	case errors.As(err, &overload):
+		x.retryAfter = overload.RetryAfter
+	case errors.As(err, &throttled):
+		x.retryAfter = max(refusalRetryAfter, throttled.Until.Sub(x.server.Now())) + rand.N(refusalRetryAfter)
+	}
+}
+
 // errUpstreamDraining reports an upstream that began to shut down, or was removed
 // from the list, before the request was sent.
 var errUpstreamDraining = errors.New("upstream is draining or was removed")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -38,8 +38,10 @@
 	RetryBudget *RetryBudget
 	// Quarantine holds the request contents that crash upstreams.
 	Quarantine *quarantine.Table
-	// RateLimits holds the rates at which upstreams take requests.
-	RateLimits *ratelimit.Table
+	// RateLimits holds the rates at which upstreams take requests, and Permits gets permits
+	// for those whose rate is limited.
+	RateLimits *ratelimit.Limiter
+	Permits    Permits
 	// Table returns the table in force, or nil while none is known.
 	Table func() *route.Table
 	// LookupUpstream returns an upstream as it is listed now, or nil.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -210,9 +212,10 @@
 	connPools, cleanup := NewConnPools()
 	t.Cleanup(cleanup)
 	bounds := setting.EdgeBounds{RetryRatio: 1, RetryWindow: 10 * time.Second, RetryExtra: 100}
+	limiter := ratelimit.NewLimiter(time.Now().Add(-time.Minute), netip.MustParseAddr("127.0.0.1"), "a", nil)
 	f.server = NewServer(Options{
 		Dialect: platform.Dialect{}, Balancer: f.balancer, ConnPools: connPools, RetryBudget: NewRetryBudget(bounds, func() int { return 1 }, f.balancer), Quarantine: quarantine.NewTable("h"),
-		RateLimits: ratelimit.NewTable(),
+		RateLimits: limiter, Permits: ownPermits{limiter},
 		Table: func() *route.Table {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -230,6 +233,22 @@
 	return f
 }
 
+// ownPermits implements Permits for a host that has no others.
+type ownPermits struct{ *ratelimit.Limiter }
+
+func (p ownPermits) AcquirePermit(_ context.Context, u *route.Upstream, urgency int) bool {
+	now, key := time.Now(), ratelimit.KeyOf(u)
+	rate := p.Rate(now, key)
+	holder, ok := p.Asker.Begin(now, key, rate, urgency)
+	if rate == ratelimit.NoLimit || !ok {
+		return rate == ratelimit.NoLimit
+	}
+	ask := ratelimit.Ask{Number: rand.Uint64(), Key: key, Rate: rate, Urgency: urgency}
+	decision := p.Decide(now, ratelimit.AskID{Host: "h", Number: ask.Number}, ask)
+	p.Asker.Decided(now, key, holder, rate, urgency, decision)
+	return decision.Granted
+}
+
 // callerResponse is what a caller receives.
 type callerResponse struct {
 	status int
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"context"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
+	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 )
 
@@ -24,7 +26,9 @@
 	random *rand.Rand
 	loss   float64
 	hosts  []*simHost
-	byAddr map[netip.Addr]*simHost
+	// domains lists all failure domains.
+	domains []plan.DomainID
+	byAddr  map[netip.Addr]*simHost
 }
 
 type simHost struct {
@@ -34,8 +38,10 @@
 	// offset is when in each interval the host sends.
 	offset    time.Duration
 	sentBytes int
-	// lastUpdates is when the host last told new suspects at once.
-	lastUpdates time.Time
+	// lastUpdates and lastLimits are when the host last told new suspects and changed rate
+	// limits at once.
+	lastUpdates, lastLimits time.Time
+	startedAt               time.Time
 	// cutFrom, if set, reports which hosts are out of reach.
 	cutFrom func(*simHost) bool
 }
@@ -59,6 +65,7 @@
 	f := &simFleet{t: t, now: start, random: rand.New(rand.NewPCG(*simSeed, 2)), loss: loss, byAddr: map[netip.Addr]*simHost{}}
 	var seeds []netip.AddrPort
 	for d := range domains {
+		f.domains = append(f.domains, simDomain(d))
 		seeds = append(seeds, netip.AddrPortFrom(simAddr(d, 0), 1))
 	}
 	list := &route.Upstreams{ByID: map[plan.UpstreamID]*route.Upstream{}}
@@ -85,14 +92,15 @@
 
 func (f *simFleet) addHost(a netip.Addr, d plan.DomainID, seeds []netip.AddrPort, list *route.Upstreams) {
 	id := plan.HostID("host-" + a.String())
-	h := &simHost{lists: &simLists{}, offset: time.Duration(f.random.Int64N(int64(Interval/simStep))) * simStep}
+	h := &simHost{lists: &simLists{}, startedAt: f.now, offset: time.Duration(f.random.Int64N(int64(Interval/simStep))) * simStep}
 	balancer := dispatch.NewBalancer(id, d, time.Second)
 	balancer.SetUpstreams(f.now, list)
 	h.Node = newNode(Options{
 		Host: id, Domain: d, Incarnation: f.random.Uint64() | 1, IP: a, Seeds: seeds, Balancer: balancer,
-		Quarantine: quarantine.NewTable(id), Lists: h.lists, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return f.now },
+		Quarantine: quarantine.NewTable(id), Limiter: ratelimit.NewLimiter(f.now, a, d, f.domains), Lists: h.lists, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return f.now },
 	})
 	h.transmit = func(raw []byte, to netip.Addr) { f.deliver(h, raw, to) }
+	h.awaitDecision = decisionAtOnce
 	f.hosts = append(f.hosts, h)
 	f.byAddr[a] = h
 }
@@ -115,6 +123,16 @@
 	h.handleMessage(from.IP, msg)
 }
 
+// decisionAtOnce returns the answer to an ask, which has come already if it was not lost.
+func decisionAtOnce(_ context.Context, p *pendingAsk) (ratelimit.Decision, bool) {
+	select {
+	case d := <-p.decision:
+		return d, true
+	default:
+		return ratelimit.Decision{}, false
+	}
+}
+
 // run lets a time pass, and calls check after each step if it is not nil.
 func (f *simFleet) run(d time.Duration, check func()) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(simStep) {
@@ -134,15 +152,23 @@
 	}
 }
 
-// runUpdates does what the goroutine of the same name does.
+// runUpdates does what the goroutines do that tell changes at once.
 func (f *simFleet) runUpdates(h *simHost) {
-	if h.down || f.now.Sub(h.lastUpdates) < updateInterval {
+	if h.down {
+		return
+	}
+	f.runUpdate(h.Quarantine.Changed(), &h.lastUpdates, h.sendUpdates)
+	f.runUpdate(h.Limiter.Changed(), &h.lastLimits, h.sendLimitUpdates)
+}
+
+func (f *simFleet) runUpdate(changed <-chan struct{}, last *time.Time, send func(time.Time)) {
+	if f.now.Sub(*last) < updateInterval {
 		return
 	}
 	select {
-	case <-h.Quarantine.Changed():
-		h.lastUpdates = f.now
-		h.sendUpdates(f.now)
+	case <-changed:
+		*last = f.now
+		send(f.now)
 	default:
 	}
 }
--- /dev/null
+++ b/gossip/limits.go
@@ -0,0 +1,67 @@
+package gossip
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"mulberrydyke/clock"
+	"mulberrydyke/plan"
+)
+
+// runLimitUpdates tells other hosts of changed rate limits of upstreams as soon as there are
+// any, until ctx ends.
+func (n *Node) runLimitUpdates(ctx context.Context) {
+	for {
+		select {
+		case <-n.Limiter.Changed():
+			n.sendLimitUpdates(n.Now())
+			clock.Sleep(ctx, updateInterval)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sendLimitUpdates tells all live hosts of the group, and those that a speaker or a reporter
+// speaks to, of the rate limits that this host has not told yet. What it was told itself it
+// passes on in the same way, so that a change reaches all hosts though some datagrams are
+// lost.
+func (n *Node) sendLimitUpdates(now time.Time) {
+	n.mu.Lock()
+	targets := n.members.SuspectTargets(now, addresses(n.members.liveInGroup(now)))
+	n.mu.Unlock()
+	for _, limits := range n.Limiter.Unsent(now) {
+		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
+	}
+}
+
+// tellLimits tells some hosts of the group, and those that a speaker or a reporter speaks
+// to, of rate limits that they may not know, and reminds them of others from time to time.
+func (n *Node) tellLimits(now time.Time, group []netip.Addr) {
+	if n.Limiter.Empty() {
+		return
+	}
+	n.mu.Lock()
+	n.limitRounds++
+	remind := n.limitRounds%reminderRounds == 0
+	targets := n.members.SuspectTargets(now, group)
+	n.mu.Unlock()
+	for _, limits := range n.Limiter.Next(now) {
+		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
+	}
+	if limits := n.Limiter.Reminders(now); remind && len(limits) > 0 {
+		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
+	}
+}
+
+// hostsByDomain returns the other hosts that have not been forgotten.
+func (m *Members) hostsByDomain() map[plan.DomainID][]netip.Addr {
+	out := map[plan.DomainID][]netip.Addr{}
+	for _, x := range m.members {
+		if x.domain != "" {
+			out[x.domain] = append(out[x.domain], x.addr)
+		}
+	}
+	return out
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -14,13 +14,14 @@
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
+	"mulberrydyke/ratelimit"
 )
 
 // protocolVersion is raised with each change that older hosts can't decode. Hosts
 // of different versions do not hear each other: each set of hosts counts as the
 // whole fleet, reads the platform's store by itself and shares its upstreams with
 // the other set without knowing its load.
-const protocolVersion = 7
+const protocolVersion = 8
 
 const (
 	// maxMessageBytes bounds a datagram that is received.
@@ -30,6 +31,8 @@
 	maxReportBytes = 900
 	// maxSuspects bounds the suspects in one message.
 	maxSuspects = 64
+	// maxLimits bounds the rate limits in one message.
+	maxLimits = 64
 	// maxLocalPeers and maxRemotePeers bound the addresses of hosts of the local
 	// domain and of another domain in one message.
 	maxLocalPeers  = 8
@@ -66,6 +69,12 @@
 	KindHello
 	// KindSuspects carries requests suspected of crashing upstreams, and no report.
 	KindSuspects
+	// KindLimits carries rate limits of upstreams, and no report.
+	KindLimits
+	// KindPermitAsk asks for a permit to send a request to an upstream, and
+	// KindPermitDecision answers it.
+	KindPermitAsk
+	KindPermitDecision
 )
 
 // Message is the datagram that a host sends to its peers.
@@ -98,8 +107,17 @@
 	Hosts int `cbor:"15,keyasint,omitempty"`
 	// Report is one part of the report.
 	Report dispatch.Report `cbor:"16,keyasint"`
+	// Limits are rate limits that upstreams have announced. Only messages of KindLimits
+	// carry them.
+	Limits []ratelimit.Update `cbor:"17,keyasint,omitempty"`
+	// Ask is set in messages of KindPermitAsk, Decision in those of KindPermitDecision.
+	Ask      *ratelimit.Ask      `cbor:"18,keyasint,omitempty"`
+	Decision *ratelimit.Decision `cbor:"19,keyasint,omitempty"`
 }
 
+// carriesReport reports whether the message describes load.
+func (m *Message) carriesReport() bool { return m.Kind < KindHello }
+
 // DomainPeers lists some hosts of one domain.
 type DomainPeers struct {
 	_      struct{} `cbor:",toarray"`
@@ -143,7 +161,7 @@
 		return &DecodeError{Reason: fmt.Sprintf("unsupported protocol version %d", m.Protocol)}
 	case m.Host == "" || m.Domain == "" || m.Incarnation == 0:
 		return &DecodeError{Reason: "missing host, domain or incarnation"}
-	case m.Kind < KindHost || m.Kind > KindSuspects || m.Group == 0:
+	case m.Kind < KindHost || m.Kind > KindPermitDecision || m.Group == 0:
 		return &DecodeError{Reason: "unknown kind or missing group"}
 	case m.Hosts < 0 || m.ReaderAge < 0:
 		return &DecodeError{Reason: "negative number of hosts or age"}
@@ -155,12 +173,33 @@
 			return &DecodeError{Reason: "malformed suspect"}
 		}
 	}
+	if err := m.validateLimits(); err != nil {
+		return err
+	}
 	if err := m.validatePeers(); err != nil {
 		return err
 	}
 	return validateReport(&m.Report)
 }
 
+func (m *Message) validateLimits() error {
+	if len(m.Limits) > maxLimits {
+		return &DecodeError{Reason: "too many rate limits"}
+	}
+	for _, u := range m.Limits {
+		if !u.Valid() {
+			return &DecodeError{Reason: "malformed rate limit"}
+		}
+	}
+	if m.Kind == KindPermitAsk && (m.Ask == nil || !m.Ask.Valid()) {
+		return &DecodeError{Reason: "malformed ask for a permit"}
+	}
+	if m.Kind == KindPermitDecision && (m.Decision == nil || m.Decision.RetryAfter < 0) {
+		return &DecodeError{Reason: "malformed decision on a permit"}
+	}
+	return nil
+}
+
 func (m *Message) validatePeers() error {
 	if len(m.Peers) > maxPeerDomains {
 		return &DecodeError{Reason: "too many domains of peers"}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -14,6 +14,7 @@
 	"mulberrydyke/dispatch"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
+	"mulberrydyke/ratelimit"
 )
 
 const (
@@ -68,9 +69,12 @@
 	// Quarantine holds the requests suspected of crashing upstreams, which hosts tell
 	// each other.
 	Quarantine *quarantine.Table
-	Lists      Lists
-	Log        *slog.Logger
-	Now        func() time.Time
+	// Limiter holds the rate limits of upstreams, which hosts tell each other, and gives
+	// out permits for those that this host keeps.
+	Limiter *ratelimit.Limiter
+	Lists   Lists
+	Log     *slog.Logger
+	Now     func() time.Time
 }
 
 // Node exchanges messages with the other hosts.
@@ -102,6 +106,13 @@
 	fetching  bool
 	// suspectRounds counts the calls of tellSuspects.
 	suspectRounds int
+	// limitRounds counts the calls of tellLimits that had something to tell.
+	limitRounds int
+	// pendingAsks holds the asks for permits that are not answered, by their number.
+	pendingAsks map[uint64]*pendingAsk
+	lastAsk     uint64
+	// awaitDecision waits for the answer to an ask.
+	awaitDecision func(context.Context, *pendingAsk) (ratelimit.Decision, bool)
 }
 
 // Listen opens the sockets of a node. The returned function closes them.
@@ -123,6 +134,7 @@
 // newNode returns a node without sockets.
 func newNode(o Options) *Node {
 	n := &Node{Options: o, members: NewMembers(o.Now(), o.IP, o.Host, o.Domain, o.Seeds), catchUpSignal: make(chan struct{}, 1)}
+	n.pendingAsks, n.awaitDecision = map[uint64]*pendingAsk{}, waitForDecision
 	n.group = n.members.Group()
 	return n
 }
@@ -193,6 +205,7 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	tasks.Go(func() { n.runUpdates(ctx) })
+	tasks.Go(func() { n.runLimitUpdates(ctx) })
 	n.send(n.Now(), false)
 	for {
 		select {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -24,6 +24,10 @@
 }
 
 func (n *Node) handleMessage(from netip.Addr, msg *Message) {
+	if msg.Kind == KindPermitAsk || msg.Kind == KindPermitDecision {
+		n.handlePermitMessage(from, msg)
+		return
+	}
 	now := n.Now()
 	n.mu.Lock()
 	fresh := n.members.HandleMessage(now, from, msg)
@@ -37,6 +41,9 @@
 	if n.Quarantine.Merge(now, msg.Suspects) {
 		n.Log.Info("suspects told", "by", string(msg.Host), "traits", keysOf(msg.Suspects))
 	}
+	if n.Limiter.Merge(now, msg.Limits) {
+		n.Log.Info("rate limits told", "by", string(msg.Host), "limits", len(msg.Limits))
+	}
 	if reply {
 		n.sendHello(now, from)
 	}
@@ -76,6 +83,6 @@
 		if local && role == RoleMember && msg.Group == group {
 			n.Balancer.ApplyRestReport(now, msg.Hosts, msg.Report)
 		}
-	case KindHello, KindSuspects:
+	case KindHello, KindSuspects, KindLimits, KindPermitAsk, KindPermitDecision:
 	}
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -22,12 +22,14 @@
 	view := fleetView{live: n.members.LiveCount(now), role: n.role, mustRead: n.members.MustRead(now, reading)}
 	n.knownCount.Store(int64(n.members.KnownCount() + n.Balancer.RemoteHostCount()))
 	n.logView(now, view)
+	n.Limiter.Holders.SetHosts(n.members.hostsByDomain())
 	n.mu.Unlock()
 	n.Lists.SetMustRead(view.mustRead)
 	n.Balancer.SetSources(now, view.role >= RoleSpeaker, view.role == RoleReporter)
 	n.sendReport(now, targets.Group, Message{Kind: KindHost, Report: n.Balancer.Report(now)})
 	n.sendToGroups(now, targets)
 	n.tellSuspects(now, targets.Group)
+	n.tellLimits(now, targets.Group)
 	if len(targets.Domains) > 0 {
 		report, hosts := n.Balancer.DomainReport(now)
 		n.sendReport(now, targets.Domains, Message{Kind: KindDomain, Hosts: hosts, Report: report})
@@ -81,7 +83,7 @@
 	n.mu.Lock()
 	n.sequence++
 	msg.Sequence, msg.Role, msg.Group = n.sequence, n.role, n.group
-	if msg.Kind != KindHello && msg.Kind != KindSuspects {
+	if msg.carriesReport() {
 		msg.Peers = n.peers
 	}
 	reader, knownAt := n.members.Reader(now, reading)
--- /dev/null
+++ b/ratelimit/grantor.go
@@ -0,0 +1,210 @@
+package ratelimit
+
+import (
+	"net/netip"
+	"strconv"
+	"sync"
+	"time"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
+)
+
+const (
+	// settleTime is how long after its start a host gives out no permits. It may not know
+	// yet that another host gives them out, and who has some from its predecessor.
+	settleTime = 4 * time.Second
+	// burstTime is the time for which permits that nobody asks for are saved, besides one.
+	burstTime = 800 * time.Millisecond
+	// asksPerPermit is how many asks the holder wants to get for each permit that it has
+	// to give. With more, a permit waits for a shorter time.
+	asksPerPermit = 8
+	// maxSpread bounds the mean time over which hosts spread their asks.
+	maxSpread = time.Second
+	// minRetryAfter is the shortest time to the next ask.
+	minRetryAfter = 20 * time.Millisecond
+	// askerTTL is how long a host counts as an asker after its last ask.
+	askerTTL = 2 * time.Second
+	// grantTTL is how long the answer to an ask is kept, in case it got lost.
+	grantTTL = time.Second
+	// bucketTTL is how long a bucket is kept that nobody asks.
+	bucketTTL = time.Minute
+)
+
+// AskID identifies an ask among those of all hosts.
+type AskID struct {
+	Host        plan.HostID
+	Incarnation uint64
+	Number      uint64
+}
+
+// Ask asks a holder for a permit to send one request to an upstream.
+type Ask struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	Key    Key
+	// Rate is the upstream's rate as far as the asker knows.
+	Rate Rate
+	// Urgency is the urgency of the request, from 0 (most urgent) to 9.
+	Urgency int
+}
+
+// Valid reports whether an ask that was received makes sense.
+func (a *Ask) Valid() bool {
+	rate, err := NewRate(float64(a.Rate))
+	return err == nil && rate == a.Rate && a.Key != 0 && a.Urgency >= 0 && a.Urgency < urgencies
+}
+
+// Decision answers an Ask.
+type Decision struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Granted bool
+	// RetryAfter is the time after which the host may ask again for a request that is not
+	// more urgent.
+	RetryAfter time.Duration
+	// Holder is the host to ask instead. It is not valid if this is the right one, or none
+	// is known.
+	Holder netip.Addr
+}
+
+// Grantor gives out permits for the parts of upstreams' rates that fall to this host. Its
+// state ends with the process. It is safe for concurrent use.
+type Grantor struct {
+	holders *Holders
+	// readyAt is when the host may give out its first permit.
+	readyAt time.Time
+	mu      sync.Mutex
+	buckets map[Key]*bucket
+}
+
+// NewGrantor returns the Grantor of a host that has just started.
+func NewGrantor(now time.Time, holders *Holders) *Grantor {
+	return &Grantor{holders: holders, readyAt: now.Add(settleTime), buckets: map[Key]*bucket{}}
+}
+
+// Decide answers an ask for a permit to send a request to an upstream with the given rate.
+func (g *Grantor) Decide(now time.Time, id AskID, a Ask, rate Rate) Decision {
+	out := Decision{Number: a.Number}
+	switch own := g.holders.InOwnDomain(a.Key); {
+	case own != g.holders.self:
+		out.Holder, out.RetryAfter = own, maxSpread
+		return out
+	case now.Before(g.readyAt):
+		out.RetryAfter = g.readyAt.Sub(now)
+		return out
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	b := g.buckets[a.Key]
+	if b == nil {
+		b = newBucket(now)
+		g.buckets[a.Key] = b
+		g.expire(now)
+	}
+	b.refill(now, rate/Rate(g.holders.Parts()))
+	out.Granted, out.RetryAfter = b.decide(now, id, a.Urgency)
+	return out
+}
+
+// expire removes buckets that nobody asks. g.mu must be held.
+func (g *Grantor) expire(now time.Time) {
+	for k, b := range g.buckets {
+		if now.Sub(b.filledAt) > bucketTTL {
+			delete(g.buckets, k)
+		}
+	}
+}
+
+// bucket is a token bucket for the part of one upstream's rate. It starts empty.
+type bucket struct {
+	part     Rate
+	tokens   float64
+	filledAt time.Time
+	classes  classes
+	askers   map[asker]lastAsk
+	// granted holds when asks were granted lately.
+	granted map[AskID]time.Time
+}
+
+// asker is one process of a host that asks for permits.
+type asker struct {
+	host        plan.HostID
+	incarnation uint64
+}
+
+// lastAsk is the last ask of an asker.
+type lastAsk struct {
+	at      time.Time
+	urgency int
+}
+
+func newBucket(now time.Time) *bucket {
+	return &bucket{filledAt: now, askers: map[asker]lastAsk{}, granted: map[AskID]time.Time{}}
+}
+
+// capacity returns how many permits the bucket holds at most.
+func (b *bucket) capacity() float64 { return 1 + float64(b.part)*burstTime.Seconds() }
+
+// refill adds the permits that have accrued, at the rate that held until now or the new
+// one, whichever is lower.
+func (b *bucket) refill(now time.Time, part Rate) {
+	accrualRate := part
+	if b.part != 0 {
+		accrualRate = min(part, b.part)
+	}
+	elapsed := max(0, now.Sub(b.filledAt).Seconds())
+	b.part, b.filledAt = part, now
+	b.tokens = min(b.capacity(), b.tokens+float64(accrualRate)*elapsed)
+}
+
+// decide answers an ask. It returns the time until the next one if it is not granted. An
+// ask that was granted before is granted again without another permit, since its answer
+// got lost.
+func (b *bucket) decide(now time.Time, id AskID, urgency int) (granted bool, retryAfter time.Duration) {
+	b.forget(now)
+	if _, ok := b.granted[id]; ok {
+		return true, 0
+	}
+	b.askers[asker{id.Host, id.Incarnation}] = lastAsk{at: now, urgency: urgency}
+	wait := time.Duration(max(0, 1-b.tokens) / float64(b.part) * float64(time.Second))
+	// Permits that the bucket can't hold would be lost, so a full one is for anybody.
+	full := b.tokens >= b.capacity()
+	if wait == 0 && (full || b.classes.mayGo(now, urgency)) {
+		b.tokens--
+		b.granted[id] = now
+		b.classes.recordGrant(now, urgency)
+		return true, 0
+	}
+	spread := b.spread(urgency)
+	b.classes.recordDenial(now, urgency, wait+2*spread)
+	turn := route.UnitFraction(route.Hash(string(id.Host), strconv.FormatUint(id.Number, 16)))
+	return false, max(minRetryAfter, wait+time.Duration(2*turn*float64(spread)))
+}
+
+// spread returns the mean time over which asks are spread, so that there are about
+// asksPerPermit for each permit. Less urgent askers don't count.
+func (b *bucket) spread(urgency int) time.Duration {
+	n := 0
+	for _, last := range b.askers {
+		if last.urgency <= urgency {
+			n++
+		}
+	}
+	seconds := float64(n) / (asksPerPermit * float64(b.part))
+	return min(maxSpread, time.Duration(seconds*float64(time.Second)))
+}
+
+// forget removes askers and grants that are too old to matter.
+func (b *bucket) forget(now time.Time) {
+	for id, at := range b.granted {
+		if now.Sub(at) > grantTTL {
+			delete(b.granted, id)
+		}
+	}
+	for a, last := range b.askers {
+		if now.Sub(last.at) > askerTTL {
+			delete(b.askers, a)
+		}
+	}
+}
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -64,15 +64,20 @@
 	size    atomic.Int64
 	mu      sync.Mutex
 	entries map[Key]*entry
+	// cursor is the position of the last call of Reminders.
+	cursor  int
+	changed chan struct{}
 }
 
 // entry is what is known of the limit of one upstream.
 type entry struct {
 	statement Statement
+	// sent counts the messages that carried the present rate to other hosts.
+	sent int
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[Key]*entry{}} }
+func NewTable() *Table { return &Table{entries: map[Key]*entry{}, changed: make(chan struct{}, 1)} }
 
 // Empty reports whether no upstream has announced a limit lately.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
@@ -96,15 +101,19 @@
 		e = nil
 	}
 	if e == nil {
-		if s.Rate != NoLimit && !s.expired(now) {
-			t.insert(now, s)
+		if s.Rate == NoLimit || s.expired(now) {
+			return NoLimit, NoLimit
 		}
+		t.insert(now, s)
 		return NoLimit, s.Rate
 	}
 	before = e.statement.Rate
 	if s.overrules(e.statement) {
 		e.statement = s
 	}
+	if e.statement.Rate != before {
+		t.noteChange(e)
+	}
 	return before, e.statement.Rate
 }
 
@@ -116,8 +125,10 @@
 	if len(t.entries) >= maxLimits {
 		t.removeOldest()
 	}
-	t.entries[s.Key] = &entry{statement: s}
+	e := &entry{statement: s}
+	t.entries[s.Key] = e
 	t.size.Store(int64(len(t.entries)))
+	t.noteChange(e)
 }
 
 // expire removes the entries that no longer matter. t.mu must be held.
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -26,8 +26,8 @@
 	Seeds []netip.AddrPort
 	// Platform is the address of the store that lists upstreams and routes.
 	Platform netip.AddrPort
-	// Domains is the number of failure domains. It is at least 1.
-	Domains int
+	// Domains lists all failure domains in which there may be hosts, without duplicates.
+	Domains []plan.DomainID
 	// Cores is the number of CPU cores of the machine.
 	Cores int
 	// MemoryBytes is the memory limit above which the process is killed.
