Let the permits of the parts of a rate accrue one after the other

A host that starts now gives out permits after 3 s, not 4: it has learned of the others in a second or two.

--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -13,7 +13,7 @@
 const (
 	// settleTime is how long after its start a host gives out no permits. It may not know
 	// yet that another host gives them out, and who has some from its predecessor.
-	settleTime = 4 * time.Second
+	settleTime = 3 * time.Second
 	// burstTime is the time for which permits that nobody asks for are saved, besides one.
 	burstTime = 800 * time.Millisecond
 	// asksPerPermit is how many asks the holder wants to get for each permit that it has
@@ -86,7 +86,8 @@
 // Decide answers an ask for a permit to send a request to an upstream with the given rate.
 func (g *Grantor) Decide(now time.Time, id AskID, a Ask, rate Rate) Decision {
 	out := Decision{Number: a.Number}
-	switch own := g.holders.InOwnDomain(a.Key); {
+	own, part := g.holders.InOwnDomain(a.Key)
+	switch {
 	case own != g.holders.self:
 		out.Holder, out.RetryAfter = own, maxSpread
 		return out
@@ -98,7 +99,7 @@
 	defer g.mu.Unlock()
 	b := g.buckets[a.Key]
 	if b == nil {
-		b = newBucket(now)
+		b = newBucket(now, float64(part)/float64(g.holders.Parts()))
 		g.buckets[a.Key] = b
 		g.expire(now)
 	}
@@ -116,7 +117,9 @@
 	}
 }
 
-// bucket is a token bucket for the part of one upstream's rate. It starts empty.
+// bucket is a token bucket for the part of one upstream's rate. It starts with less than one
+// permit, a different fraction for each part, so that the permits of all parts accrue one
+// after the other.
 type bucket struct {
 	part     Rate
 	tokens   float64
@@ -139,8 +142,8 @@
 	urgency int
 }
 
-func newBucket(now time.Time) *bucket {
-	return &bucket{filledAt: now, askers: map[asker]lastAsk{}, granted: map[AskID]time.Time{}}
+func newBucket(now time.Time, tokens float64) *bucket {
+	return &bucket{tokens: tokens, filledAt: now, askers: map[asker]lastAsk{}, granted: map[AskID]time.Time{}}
 }
 
 // capacity returns how many permits the bucket holds at most.
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -109,15 +109,15 @@
 	return append(own, others...)
 }
 
-// InOwnDomain returns the holder of the part that falls to this host's failure domain. It is
-// not valid if none does.
-func (h *Holders) InOwnDomain(k Key) netip.Addr {
+// InOwnDomain returns the holder of the part that falls to this host's failure domain, and
+// the number of the part, counted from zero. The holder is not valid if none does.
+func (h *Holders) InOwnDomain(k Key) (netip.Addr, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, x := range h.find(k) {
+	for i, x := range h.find(k) {
 		if x.domain == h.domain {
-			return x.addr
+			return x.addr, i
 		}
 	}
-	return netip.Addr{}
+	return netip.Addr{}, 0
 }
