--- /dev/null
+++ b/gateway/ratelimit_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"mulberrydyke/ratelimit"
+)
+
+// respondWithLimit returns a handler that sends a complete response which names a rate.
+func respondWithLimit(rate string) stubHandler {
+	return func(conn net.Conn, r receivedRequest) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: s\r\nServer-Limit: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Request-Id"), rate)
+		return true
+	}
+}
+
+// outcomes counts the responses that one class of callers received.
+type outcomes struct{ served, refused, refusedWithoutTime, other int }
+
+func (o *outcomes) add(r callerResponse) {
+	switch {
+	case r.err == nil && r.status == 200:
+		o.served++
+	case r.status == 503 && r.header.Get("Retry-After") == "":
+		o.refusedWithoutTime++
+	case r.status == 503:
+		o.refused++
+	default:
+		o.other++
+	}
+}
+
+// TestAllUpstreamsAtTheirRates guards against hosts that, when all upstreams of a service
+// have named a rate, send more than they take, leave much of it unused, refuse requests
+// without the time to come back, serve less urgent requests before more urgent ones, or let
+// those starve.
+func TestAllUpstreamsAtTheirRates(t *testing.T) {
+	const perSecond, span = 40, 9 * time.Second
+	stubs := []*stub{newStub(t, "u1", respondWithLimit("4")), newStub(t, "u2", respondWithLimit("4"))}
+	f := newFixture(t, stubs...)
+	routes := testRoutes()
+	urgent := *routes[0]
+	urgent.Prefix, urgent.Priority = "/urgent/", 0
+	routes[0].Priority = 2
+	f.setTable(testTable(2, append(routes, &urgent), "key"))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	got := map[string]*outcomes{"/urgent/": {}, "/status/": {}}
+	ticker := time.NewTicker(time.Second / perSecond)
+	defer ticker.Stop()
+	began := time.Now()
+	for time.Since(began) < span {
+		<-ticker.C
+		path := []string{"/urgent/", "/status/"}[rand.IntN(2)]
+		wg.Go(func() {
+			r := f.do(context.Background(), "GET", path, "")
+			mu.Lock()
+			defer mu.Unlock()
+			got[path].add(r)
+		})
+	}
+	wg.Wait()
+	sent := len(stubs[0].requests()) + len(stubs[1].requests())
+	// Until the limit is known, requests are sent without permits; then 8 a second.
+	if want := 0.7 * 8 * span.Seconds(); float64(sent) < want {
+		t.Errorf("%d requests were sent, want at least %v", sent, want)
+	}
+	if allowed := 2*(1.5*4*span.Seconds()+5) + perSecond/10; float64(sent) > allowed {
+		t.Errorf("%d requests were sent, want at most %v", sent, allowed)
+	}
+	high, low := got["/urgent/"], got["/status/"]
+	if high.served <= 2*low.served {
+		t.Errorf("%d urgent requests were served and %d others", high.served, low.served)
+	}
+	if low.served == 0 {
+		t.Error("the less urgent requests starve")
+	}
+	if n := high.other + low.other + high.refusedWithoutTime + low.refusedWithoutTime; n > 0 {
+		t.Errorf("%d responses are neither complete nor refusals with the time to come back", n)
+	}
+	t.Logf("%d sent; urgent %+v, others %+v", sent, *high, *low)
+}
+
+// TestLimitedUpstreamKeepsOthersServed guards against hosts that refuse requests, or hold
+// them up, because an upstream that they prefer takes no more now while another one does.
+func TestLimitedUpstreamKeepsOthersServed(t *testing.T) {
+	limited, other := newStub(t, "u1", respondWithLimit("0.5")), newStub(t, "u2", respond(200, "ok"))
+	f := newFixture(t, limited, other)
+	slowest := time.Duration(0)
+	for range 200 {
+		began := time.Now()
+		if got := f.get("/status/"); got.status != 200 {
+			t.Fatalf("status %d: %s", got.status, got.body)
+		}
+		slowest = max(slowest, time.Since(began))
+	}
+	if slowest > 500*time.Millisecond {
+		t.Errorf("a request took %v", slowest)
+	}
+	if n := len(limited.requests()); n > 5 {
+		t.Errorf("%d requests were sent to the upstream with a rate of 0.5", n)
+	}
+}
+
+// TestLimitEndsWithItsProcess guards against hosts that keep to the limit of an upstream
+// that has started anew.
+func TestLimitEndsWithItsProcess(t *testing.T) {
+	stub := newStub(t, "u1", respondWithLimit("0.5"))
+	f := newFixture(t, stub)
+	f.get("/status/")
+	if n := f.server.RateLimits.Count(time.Now()); n != 1 {
+		t.Fatalf("%d limits are known, want 1", n)
+	}
+	restarted := *f.upstreams.ByID["u1"]
+	restarted.StartedAt = time.Now()
+	if rate := f.server.RateLimits.Rate(time.Now(), ratelimit.KeyOf(&restarted)); rate != 0 {
+		t.Errorf("the process that has started anew has the rate %v", rate)
+	}
+}
