--- a/gossip/permits.go
+++ b/gossip/permits.go
@@ -12,9 +12,9 @@
 const (
 	// permitTimeout is how long a host waits for the answer to an ask for a permit, before
 	// it sends the ask again.
-	permitTimeout = 40 * time.Millisecond
+	permitTimeout = 30 * time.Millisecond
 	// permitTries is how often an ask is sent.
-	permitTries = 2
+	permitTries = 3
 )
 
 // pendingAsk is an ask for a permit that was sent to another host.
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -14,13 +14,18 @@
 	// settleTime is how long after its start a host gives out no permits. It may not know
 	// yet that another host gives them out, and who has some from its predecessor.
 	settleTime = 3 * time.Second
-	// burstTime is the time for which permits that nobody asks for are saved, besides one.
-	burstTime = 800 * time.Millisecond
 	// asksPerPermit is how many asks the holder wants to get for each permit that it has
-	// to give. With more, a permit waits for a shorter time.
-	asksPerPermit = 8
+	// to give, and minAsksPerSecond how many it takes in any case. With more, a permit
+	// waits for a shorter time.
+	asksPerPermit    = 8
+	minAsksPerSecond = 40
+	// headStart is how long a permit is kept for the classes whose turn it is, before any
+	// request gets it.
+	headStart = 200 * time.Millisecond
 	// maxSpread bounds the mean time over which hosts spread their asks.
-	maxSpread = time.Second
+	maxSpread = 3 * time.Second
+	// redirectPause is the time to the next ask at a host that named another holder.
+	redirectPause = time.Second
 	// minRetryAfter is the shortest time to the next ask.
 	minRetryAfter = 20 * time.Millisecond
 	// askerTTL is how long a host counts as an asker after its last ask.
@@ -89,7 +94,7 @@
 	own, part := g.holders.InOwnDomain(a.Key)
 	switch {
 	case own != g.holders.self:
-		out.Holder, out.RetryAfter = own, maxSpread
+		out.Holder, out.RetryAfter = own, redirectPause
 		return out
 	case now.Before(g.readyAt):
 		out.RetryAfter = g.readyAt.Sub(now)
@@ -111,19 +116,20 @@
 // expire removes buckets that nobody asks. g.mu must be held.
 func (g *Grantor) expire(now time.Time) {
 	for k, b := range g.buckets {
-		if now.Sub(b.filledAt) > bucketTTL {
+		if now.Sub(b.lastUsed) > bucketTTL {
 			delete(g.buckets, k)
 		}
 	}
 }
 
-// bucket is a token bucket for the part of one upstream's rate. It starts with less than one
+// bucket gives out permits for the part of one upstream's rate. It starts with less than one
 // permit, a different fraction for each part, so that the permits of all parts accrue one
 // after the other.
 type bucket struct {
-	part     Rate
-	tokens   float64
-	filledAt time.Time
+	permits Bucket
+	part    Rate
+	// lastUsed is when the bucket was last asked for a permit.
+	lastUsed time.Time
 	classes  classes
 	askers   map[asker]lastAsk
 	// granted holds when asks were granted lately.
@@ -143,22 +149,13 @@
 }
 
 func newBucket(now time.Time, tokens float64) *bucket {
-	return &bucket{tokens: tokens, filledAt: now, askers: map[asker]lastAsk{}, granted: map[AskID]time.Time{}}
+	return &bucket{permits: NewBucket(now, tokens), lastUsed: now, askers: map[asker]lastAsk{}, granted: map[AskID]time.Time{}}
 }
 
-// capacity returns how many permits the bucket holds at most.
-func (b *bucket) capacity() float64 { return 1 + float64(b.part)*burstTime.Seconds() }
-
-// refill adds the permits that have accrued, at the rate that held until now or the new
-// one, whichever is lower.
+// refill adds the permits that have accrued for a part of a rate.
 func (b *bucket) refill(now time.Time, part Rate) {
-	accrualRate := part
-	if b.part != 0 {
-		accrualRate = min(part, b.part)
-	}
-	elapsed := max(0, now.Sub(b.filledAt).Seconds())
-	b.part, b.filledAt = part, now
-	b.tokens = min(b.capacity(), b.tokens+float64(accrualRate)*elapsed)
+	b.permits.Refill(now, part)
+	b.part, b.lastUsed = part, now
 }
 
 // decide answers an ask. It returns the time until the next one if it is not granted. An
@@ -170,11 +167,12 @@
 		return true, 0
 	}
 	b.askers[asker{id.Host, id.Incarnation}] = lastAsk{at: now, urgency: urgency}
-	wait := time.Duration(max(0, 1-b.tokens) / float64(b.part) * float64(time.Second))
-	// Permits that the bucket can't hold would be lost, so a full one is for anybody.
-	full := b.tokens >= b.capacity()
-	if wait == 0 && (full || b.classes.mayGo(now, urgency)) {
-		b.tokens--
+	wait := b.permits.Wait()
+	if left := headStart - b.permits.Saved(); wait == 0 && left > 0 && !b.classes.mayGo(now, urgency) {
+		wait = left
+	}
+	if wait == 0 {
+		b.permits.Take()
 		b.granted[id] = now
 		b.classes.recordGrant(now, urgency)
 		return true, 0
@@ -185,8 +183,8 @@
 	return false, max(minRetryAfter, wait+time.Duration(2*turn*float64(spread)))
 }
 
-// spread returns the mean time over which asks are spread, so that there are about
-// asksPerPermit for each permit. Less urgent askers don't count.
+// spread returns the mean time over which asks are spread, so that there are not many more
+// than the holder wants. Less urgent askers don't count.
 func (b *bucket) spread(urgency int) time.Duration {
 	n := 0
 	for _, last := range b.askers {
@@ -194,7 +192,7 @@
 			n++
 		}
 	}
-	seconds := float64(n) / (asksPerPermit * float64(b.part))
+	seconds := float64(n) / max(minAsksPerSecond, asksPerPermit*float64(b.part))
 	return min(maxSpread, time.Duration(seconds*float64(time.Second)))
 }
 
