Parse rates of upstreams in one place

The product's own interface reads them from another header with the same rules, so what is not a wire name moves from platform to ratelimit. No change of behavior: zero, several and malformed values are logged as before.

--- a/platform/ratelimit_test.go
+++ b/ratelimit/announcement_test.go
@@ -1,22 +1,19 @@
-package platform
+package ratelimit
 
 import (
-	"net/http"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
-
-	"mulberrydyke/ratelimit"
 )
 
 // TestAnnouncedRates guards against rates that are malformed, given twice or out of range
 // and are taken for no limit, or for a higher one than the upstream may have meant.
 func TestAnnouncedRates(t *testing.T) {
 	type result struct {
-		Rate              ratelimit.Rate
+		Rate              Rate
 		Unusable, Problem bool
 	}
-	lowest, err := ratelimit.NewRate(0)
+	lowest, err := NewRate(0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,10 +37,7 @@
 		{"beyond all numbers", []string{"1e999"}, result{Unusable: true, Problem: true}},
 		{"not finite", []string{"NaN", "Inf"}, result{Unusable: true, Problem: true}},
 	} {
-		got := decodeAnnouncement(http.Header{headerServerLimit: c.values})
-		if c.values == nil {
-			got = decodeAnnouncement(http.Header{})
-		}
+		got := ParseAnnouncement(c.values)
 		if diff := cmp.Diff(c.want, result{got.Rate, got.Unusable, got.Problem != nil}); diff != "" {
 			t.Errorf("%s: %s", c.name, diff)
 		}
--- a/ratelimit/rate.go
+++ b/ratelimit/rate.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 )
 
 // Rate is a number of requests per second that an upstream takes from all hosts together.
@@ -24,26 +25,27 @@
 	maxRate Rate = 100_000
 )
 
-// RateError reports an announced rate that can't be used.
+// RateError reports an announced rate that is malformed or doubtful.
 type RateError struct {
-	// PerSecond is the announced number.
-	PerSecond float64
-	Reason    string
+	// Text is the rate as it was announced.
+	Text   string
+	Reason string
 }
 
-func (e *RateError) Error() string { return fmt.Sprintf("rate limit %v: %s", e.PerSecond, e.Reason) }
+func (e *RateError) Error() string { return fmt.Sprintf("rate limit %q: %s", e.Text, e.Reason) }
 
 // NewRate returns the rate for an announced number of requests per second. Numbers below
 // minRate, zero included, count as minRate. It returns a *RateError for numbers that are
 // negative, infinite or above maxRate.
 func NewRate(perSecond float64) (Rate, error) {
+	text := strconv.FormatFloat(perSecond, 'g', -1, 64)
 	switch {
 	case math.IsNaN(perSecond) || math.IsInf(perSecond, 0):
-		return NoLimit, &RateError{PerSecond: perSecond, Reason: "not a finite number"}
+		return NoLimit, &RateError{Text: text, Reason: "not a finite number"}
 	case perSecond < 0:
-		return NoLimit, &RateError{PerSecond: perSecond, Reason: "negative"}
+		return NoLimit, &RateError{Text: text, Reason: "negative"}
 	case perSecond > float64(maxRate):
-		return NoLimit, &RateError{PerSecond: perSecond, Reason: "too high"}
+		return NoLimit, &RateError{Text: text, Reason: "too high"}
 	}
 	return max(minRate, Rate(perSecond)), nil
 }
@@ -52,14 +54,3 @@
 func (r Rate) stricter(other Rate) bool {
 	return r != NoLimit && (other == NoLimit || r < other)
 }
-
-// Announcement is what the head of one response says of its upstream's limit.
-type Announcement struct {
-	// Rate is the announced rate, or NoLimit.
-	Rate Rate
-	// Problem tells why the announcement is malformed or doubtful. It is nil otherwise.
-	Problem error
-	// Unusable is set if the announcement says nothing of the limit, neither that there is
-	// one nor that there is none.
-	Unusable bool
-}
