Let the product's schedulers know what upstreams tell hosts of their limits

The host that hears it reports it to the scheduler of the pool with the head of the response, before the run ends. One scheduler grants all places of an upstream, so it needs no permits: a token bucket for each upstream, and a time until which it gets none. A grant says whether the upstream has a limit, so that the host reports an answer without one. Requests that can't run meanwhile wait in the queue, by the same order as always.

--- a/host/host.go
+++ b/host/host.go
@@ -183,7 +183,7 @@
 	requestRunner := runner.New(runner.Options{
 		Host: h.settings.ID, Incarnation: uint64(incarnation), Domain: h.settings.Domain, OtherDomains: h.otherDomains,
 		Placer: h.placer, Upstreams: h.upstreams, State: h.State, AwaitFreshState: h.awaitFreshState,
-		MaxAnswerBytes: bounds.MaxAnswerBytes, RetryRatio: bounds.RetryRatio,
+		MaxAnswerBytes: bounds.MaxAnswerBytes, RetryRatio: bounds.RetryRatio, Log: h.log,
 	})
 	tickets, cleanup := relay.New(relay.Options{
 		Fleet: h.fleet, Run: h.runTicket, Key: ticketKey, Lifetime: bounds.TicketLifetime.Std(), MaxTicketBytes: bounds.MaxTicketBytes,
--- a/host/peers.go
+++ b/host/peers.go
@@ -88,6 +88,9 @@
 	for i := range args.Started {
 		p.host.local.Send(args.Pool, &args.Started[i])
 	}
+	for i := range args.Terms {
+		p.host.local.Send(args.Pool, &args.Terms[i])
+	}
 	for i := range args.Ended {
 		p.host.local.Send(args.Pool, &args.Ended[i])
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -5,11 +5,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"mulberrydyke/member"
 	"mulberrydyke/plan"
 	"mulberrydyke/pool"
+	"mulberrydyke/ratelimit"
 )
 
 // Limits of one message's content: the length of a name and the number of runs
@@ -153,12 +155,21 @@
 	Withdrawn []pool.Withdrawn
 	Started   []pool.Started
 	Ended     []pool.Ended
+	Terms     []pool.TermsStated
 }
 
 // Check returns an error if the message is not valid.
 func (a *ReportArgs) Check() error {
-	n := len(a.Withdrawn) + len(a.Started) + len(a.Ended)
-	return checkConstraints("report", constraint{isValidName(a.Pool.Name), "pool"}, constraint{n <= maxEvents, "events"})
+	n := len(a.Withdrawn) + len(a.Started) + len(a.Ended) + len(a.Terms)
+	validTerms := !slices.ContainsFunc(a.Terms, func(t pool.TermsStated) bool { return !isValidTerms(t) })
+	return checkConstraints("report", constraint{isValidName(a.Pool.Name), "pool"}, constraint{n <= maxEvents, "events"}, constraint{validTerms, "terms"})
+}
+
+// isValidTerms reports whether what another host says of an upstream makes sense.
+func isValidTerms(t pool.TermsStated) bool {
+	rate, err := ratelimit.NewRate(float64(t.Rate))
+	validRate := t.Rate == ratelimit.NoLimit || err == nil && rate == t.Rate
+	return validRate && t.HeardAge >= 0 && t.SentAge >= t.HeardAge && t.RetryAfter >= 0
 }
 
 // RunsArgs requests what a host is running in a pool.
--- a/placement/client.go
+++ b/placement/client.go
@@ -12,6 +12,7 @@
 	"mulberrydyke/peer"
 	"mulberrydyke/plan"
 	"mulberrydyke/pool"
+	"mulberrydyke/upstream"
 )
 
 const (
@@ -96,6 +97,8 @@
 	pool     pool.ID
 	req      pool.Request
 	upstream plan.UpstreamID
+	// rateLimited is set if the upstream had a rate limit when the slot was granted.
+	rateLimited bool
 	// granter is the host that granted the slot. A zero ID means the fallback
 	// server of this host.
 	granter member.Identity
@@ -147,7 +150,7 @@
 	case d.Command.Kind != pool.Grant:
 		return nil, &RefusedError{Pool: id, Reason: d.Command.Reason, RetryAfter: d.Command.RetryAfter}
 	}
-	l := &Lease{client: c, pool: id, req: req, upstream: d.Command.Upstream, granter: host, server: server}
+	l := &Lease{client: c, pool: id, req: req, upstream: d.Command.Upstream, rateLimited: d.Command.RateLimited, granter: host, server: server}
 	c.mu.Lock()
 	c.runs[req.ID] = l
 	c.mu.Unlock()
@@ -227,6 +230,19 @@
 	}
 }
 
+// ReportTerms reports what the upstream said in the head of its response at the given time,
+// if the scheduler may not know it.
+func (l *Lease) ReportTerms(heardAt time.Time, t upstream.Terms) {
+	if t.Empty() && !l.rateLimited {
+		return
+	}
+	now := time.Now()
+	l.report(&pool.TermsStated{
+		Upstream: l.upstream, Rate: t.RateLimit.Rate, RateUnknown: t.RateLimit.Unusable, RetryAfter: t.RetryAfter,
+		SentAge: max(0, now.Sub(t.SentAt)), HeardAge: max(0, now.Sub(heardAt)),
+	})
+}
+
 // End reports how the run ended and releases the slot. Further calls do nothing.
 func (l *Lease) End(e pool.Ended) {
 	l.mu.Lock()
@@ -319,6 +335,8 @@
 		args.Withdrawn = append(args.Withdrawn, *e)
 	case *pool.Started:
 		args.Started = append(args.Started, *e)
+	case *pool.TermsStated:
+		args.Terms = append(args.Terms, *e)
 	case *pool.Ended:
 		args.Ended = append(args.Ended, *e)
 	}
--- a/pool/dispatch.go
+++ b/pool/dispatch.go
@@ -164,7 +164,7 @@
 	s.raiseReserves(now, q, it)
 	s.fillFloorSlot(now, q)
 	s.addRun(now, it, b)
-	s.commands = append(s.commands, Command{Kind: Grant, ID: it.req.ID, Upstream: b.id})
+	s.commands = append(s.commands, Command{Kind: Grant, ID: it.req.ID, Upstream: b.id, RateLimited: b.terms.limited()})
 	delete(s.waiting, it.req.ID)
 	s.recycleItem(it)
 	return true
@@ -237,7 +237,7 @@
 		if allowed != nil && !slices.Contains(allowed, b) {
 			continue
 		}
-		if !b.canAccept(now, it, reserve) && (summary.anyHealthy || !b.lastResort()) {
+		if !b.canAccept(now, it, reserve) && (summary.anyHealthy || !b.lastResort(now)) {
 			continue
 		}
 		if b.id == it.req.Avoid && len(s.backends) > 1 {
@@ -300,6 +300,7 @@
 // addRun records a request as running on an upstream.
 func (s *Scheduler) addRun(now time.Time, it *item, b *backend) {
 	b.inFlight++
+	b.terms.take()
 	b.work += it.work
 	b.pendingPrefill += it.req.prefillTokens()
 	if it.huge {
--- a/pool/event.go
+++ b/pool/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"mulberrydyke/plan"
+	"mulberrydyke/ratelimit"
 )
 
 // ID identifies a pool: the upstreams of one model, or of one service without
@@ -136,6 +137,19 @@
 		// Between is the mean interval between tokens. It is zero if unknown.
 		Between time.Duration
 	}
+	// TermsStated carries what an upstream said in the head of a response.
+	TermsStated struct {
+		Upstream plan.UpstreamID
+		// Rate is its rate limit, or ratelimit.NoLimit. RateUnknown is set if it said
+		// nothing of it.
+		Rate        ratelimit.Rate
+		RateUnknown bool
+		// SentAge and HeardAge are the times since the request was sent and since the head
+		// of the response arrived.
+		SentAge, HeardAge time.Duration
+		// RetryAfter is the time after which it takes requests again, or zero.
+		RetryAfter time.Duration
+	}
 	// LoadReported carries an upstream's own report of its load, which lags
 	// behind the scheduler's counts.
 	LoadReported struct {
@@ -184,6 +198,7 @@
 func (*Withdrawn) isEvent()       {}
 func (*Started) isEvent()         {}
 func (*Ended) isEvent()           {}
+func (*TermsStated) isEvent()     {}
 func (*LoadReported) isEvent()    {}
 func (*Reconfigured) isEvent()    {}
 func (*RunsRestored) isEvent()    {}
@@ -225,8 +240,9 @@
 type Command struct {
 	Kind CommandKind
 	ID   RequestID
-	// Upstream is set for Grant.
-	Upstream plan.UpstreamID
+	// Upstream is set for Grant. RateLimited is set if it has a rate limit.
+	Upstream    plan.UpstreamID
+	RateLimited bool
 	// Reason and RetryAfter are set for Refuse.
 	Reason     Reason
 	RetryAfter time.Duration
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -126,6 +126,8 @@
 		s.handleStarted(now, e)
 	case *Ended:
 		s.handleEnded(now, e)
+	case *TermsStated:
+		s.handleTermsStated(now, e)
 	case *LoadReported:
 		s.handleLoadReported(now, e)
 	case *Reconfigured:
--- a/pool/upstream.go
+++ b/pool/upstream.go
@@ -104,6 +104,11 @@
 	straggler           bool
 	consecutiveRefusals int
 
+	// terms is what the upstream said of the requests that it takes, and rateShare the
+	// share of its rate that falls to this scheduler.
+	terms     terms
+	rateShare float64
+
 	tokenInterval    time.Duration
 	speedSamples     int
 	memoryUsed       float64
@@ -124,7 +129,8 @@
 // pool and scheduler.
 func (b *backend) resize(u plan.Upstream, limitFraction float64) {
 	b.live = u.State == plan.Live
-	b.slots = max(1, float64(u.Slots)*limitFraction/float64(max(1, len(u.Models))))
+	b.rateShare = limitFraction / float64(max(1, len(u.Models)))
+	b.slots = max(1, float64(u.Slots)*b.rateShare)
 	b.setLimit(min(max(b.limit, b.minLimit()), b.slots*maxLimitFraction))
 }
 
@@ -134,7 +140,9 @@
 
 // lastResort reports whether the upstream may be tried with any request if no
 // upstream of the pool is healthy.
-func (b *backend) lastResort() bool { return b.live && b.health == probation && b.inFlight == 0 }
+func (b *backend) lastResort(now time.Time) bool {
+	return b.live && b.health == probation && b.inFlight == 0 && b.terms.allow(now, b.rateShare)
+}
 
 // setLimit sets the limit, and runFraction, which follows from it.
 func (b *backend) setLimit(limit float64) { b.limit, b.runFraction = limit, 1/limit }
@@ -151,6 +159,9 @@
 	if !b.live || b.memoryUsed > maxMemoryFraction && now.Sub(b.memoryMeasuredAt) < loadReportTTL {
 		return false
 	}
+	if !b.terms.allow(now, b.rateShare) {
+		return false
+	}
 	switch b.health {
 	case down:
 		return false
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -37,9 +37,9 @@
 	SentAt, ReceivedAt time.Time
 }
 
-// overrules reports whether a statement replaces an earlier one: it was surely made later,
+// Overrules reports whether a statement replaces an earlier one: it was surely made later,
 // or maybe later and has a stricter rate.
-func (s Statement) overrules(o Statement) bool {
+func (s Statement) Overrules(o Statement) bool {
 	switch {
 	case s.ReceivedAt.Before(o.SentAt):
 		return false
@@ -108,7 +108,7 @@
 		return NoLimit, s.Rate
 	}
 	before = e.statement.Rate
-	if s.overrules(e.statement) {
+	if s.Overrules(e.statement) {
 		e.statement = s
 	}
 	if e.statement.Rate != before {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -48,6 +49,7 @@
 
 // Runner runs jobs.
 type Runner struct {
+	log             *slog.Logger
 	self            pool.RequestID
 	placer          *placement.Client
 	upstreams       *upstream.Set
@@ -79,6 +81,8 @@
 	MaxAnswerBytes int64
 	// RetryRatio limits retries to this fraction of new requests.
 	RetryRatio float64
+	// Log receives what is wrong with announcements of upstreams. It may be nil.
+	Log *slog.Logger
 }
 
 // New returns a runner.
@@ -86,10 +90,13 @@
 	if o.AwaitFreshState == nil {
 		o.AwaitFreshState = func(context.Context) {}
 	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Runner{
-		awaitFreshState: o.AwaitFreshState,
-		self:            pool.RequestID{Host: o.Host, Incarnation: o.Incarnation},
-		placer:          o.Placer, upstreams: o.Upstreams, state: o.State,
+		log: o.Log, awaitFreshState: o.AwaitFreshState,
+		self:   pool.RequestID{Host: o.Host, Incarnation: o.Incarnation},
+		placer: o.Placer, upstreams: o.Upstreams, state: o.State,
 		domain: o.Domain, otherDomains: o.OtherDomains,
 		retryBudget: NewRetryBudget(o.RetryRatio), maxAnswerBytes: o.MaxAnswerBytes,
 	}
@@ -199,6 +206,7 @@
 	request := upstream.Request{
 		ID: a.job.ID, Method: a.job.Method, Path: a.job.Path, Body: a.job.Body,
 		Priority: enginePriority(a.holder), Prompt: a.job.Prompt,
+		OnTerms: func(t upstream.Terms) { a.reportTerms(lease, t) },
 	}
 	if a.job.ContentType != "" {
 		request.Header = map[string][]string{"Content-Type": {a.job.ContentType}}
@@ -216,6 +224,15 @@
 	return summary, a.writer.Finish()
 }
 
+// reportTerms reports what an upstream says of the requests that it takes to the scheduler
+// of its pool.
+func (a *activeJob) reportTerms(lease *placement.Lease, t upstream.Terms) {
+	if problem := t.RateLimit.Problem; problem != nil {
+		a.runner.log.Warn("malformed rate limit", "upstream", string(lease.Upstream()), "ignored", t.RateLimit.Unusable, "cause", problem)
+	}
+	lease.ReportTerms(time.Now(), t)
+}
+
 // callService sends a call of a plain service and writes the answer.
 func (a *activeJob) callService(ctx context.Context, client *upstream.Client, request upstream.Request, lease *placement.Lease) (upstream.Summary, error) {
 	sentAt := time.Now()
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -206,3 +206,38 @@
 		t.Errorf("%d retries for 1000 requests, want at most %d", retries, maxRetries)
 	}
 }
+
+// TestRetryAfterReachesTheScheduler guards against an upstream that tells one host when to
+// come back and gets the next request of another job at once.
+func TestRetryAfterReachesTheScheduler(t *testing.T) {
+	r, counts := newTestRunner(t, []string{"d1"}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Retry-After", "30")
+		refuseRequest(w, r)
+	})
+	for range 4 {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		_, _ = r.Run(ctx, testJob(true), time.Now(), nil, ticket.NewAnswer())
+		cancel()
+	}
+	if n := counts[0].Load(); n != 1 {
+		t.Errorf("the upstream got %d requests, want 1", n)
+	}
+}
+
+// TestRateLimitReachesTheScheduler guards against schedulers that don't keep to the rate that
+// an upstream has told the host of a job.
+func TestRateLimitReachesTheScheduler(t *testing.T) {
+	r, counts := newTestRunner(t, []string{"d1"}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.RateLimitHeader, "2")
+		answerRequest(w, r)
+	})
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); {
+		ctx, cancel := context.WithDeadline(t.Context(), end)
+		_, _ = r.Run(ctx, testJob(true), time.Now(), nil, ticket.NewAnswer())
+		cancel()
+	}
+	// The first answers, before the limit is known, and two a second.
+	if n := counts[0].Load(); n < 4 || n > 10 {
+		t.Errorf("the upstream got %d requests in 3 s, want about 7", n)
+	}
+}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -100,6 +100,9 @@
 	// while it processes the prompt, so a long one extends the timeout of the
 	// first event.
 	Prompt pool.Tokens
+	// OnTerms is called with what the head of each response says of the requests that the
+	// upstream takes. It may be nil.
+	OnTerms func(Terms)
 }
 
 // prefillTimePerToken is the time that an engine may take to process one token
@@ -133,6 +136,7 @@
 		service = c.unpooled
 		request.Header.Set(TicketHeader, r.Ticket)
 	}
+	sentAt := time.Now()
 	response, err := service.DoRequest(request)
 	if err != nil {
 		return nil, c.sendError(ctx, err, gotConn.Load())
@@ -140,6 +144,9 @@
 	if instance := response.Header.Get(InstanceHeader); instance != "" {
 		c.instance.Store(pool.Instance(instance))
 	}
+	if r.OnTerms != nil {
+		r.OnTerms(decodeTerms(response, sentAt))
+	}
 	return response, nil
 }
 
