--- a/call/call.go
+++ b/call/call.go
@@ -125,6 +125,9 @@
 	KeepAliveTimeout time.Duration
 	// RateLimit is what the upstream says of the rate at which it takes requests.
 	RateLimit ratelimit.Announcement
+	// RetryAfter is the time after which the upstream takes requests again, if it has not
+	// run this one. Zero means that it does not say.
+	RetryAfter time.Duration
 }
 
 // Dialect translates between HTTP messages and the types of this package.
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -123,3 +123,21 @@
 		t.Errorf("the process that has started anew has the rate %v", rate)
 	}
 }
+
+// TestUpstreamThatPausesGetsNoRequests guards against hosts that send an upstream requests
+// before the time at which it said that it takes them again.
+func TestUpstreamThatPausesGetsNoRequests(t *testing.T) {
+	paused := newStub(t, "u1", func(conn net.Conn, r receivedRequest) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"))
+		return true
+	})
+	f := newFixture(t, paused)
+	for range 5 {
+		if got := f.post("/place/", "order"); got.status != 503 || got.header.Get("Retry-After") == "" {
+			t.Errorf("status %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+		}
+	}
+	if n := len(paused.requests()); n != 1 {
+		t.Errorf("%d requests were sent to an upstream that had said when to come back, want 1", n)
+	}
+}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -28,6 +28,9 @@
 // a permit.
 func (l *Limiter) AvailableAt(now time.Time, u *route.Upstream, urgency int) (time.Time, bool) {
 	k := KeyOf(u)
+	if until := l.PausedUntil(k); until.After(now) {
+		return until, true
+	}
 	rate := l.Rate(now, k)
 	if rate == NoLimit {
 		return now, true
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -201,3 +201,19 @@
 		t.Errorf("%d permits for urgent requests, %d for others", granted[0], granted[1])
 	}
 }
+
+// TestPausesAreToldOtherHosts checks that what an upstream told one host holds at the others
+// for as long, and does not grow by being told.
+func TestPausesAreToldOtherHosts(t *testing.T) {
+	a, b := NewTable(), NewTable()
+	if !a.RecordPause(at(0), 1, 3*time.Second) || a.RecordPause(at(10), 1, 2*time.Second) {
+		t.Error("RecordPause did not tell a longer pause from a shorter one")
+	}
+	if !b.Merge(at(100), a.Unsent(at(100))[0]) || a.Merge(at(200), b.Unsent(at(200))[0]) {
+		t.Error("a pause grew by being told")
+	}
+	got := []time.Duration{a.PausedUntil(1).Sub(start), b.PausedUntil(1).Sub(start)}
+	if diff := cmp.Diff([]time.Duration{3 * time.Second, 3 * time.Second}, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -51,6 +51,11 @@
 	return s.Rate.stricter(o.Rate)
 }
 
+// expired reports whether an entry no longer matters.
+func (e *entry) expired(now time.Time) bool {
+	return e.statement.expired(now) && !now.Before(e.pausedUntil)
+}
+
 // expired reports whether a statement no longer matters.
 func (s Statement) expired(now time.Time) bool {
 	age := now.Sub(s.ReceivedAt)
@@ -72,7 +77,9 @@
 // entry is what is known of the limit of one upstream.
 type entry struct {
 	statement Statement
-	// sent counts the messages that carried the present rate to other hosts.
+	// pausedUntil is when the upstream takes requests again, after it said so to one host.
+	pausedUntil time.Time
+	// sent counts the messages that carried the present state to other hosts.
 	sent int
 }
 
@@ -96,7 +103,7 @@
 // add applies a statement. t.mu must be held.
 func (t *Table) add(now time.Time, s Statement) (before, after Rate) {
 	e := t.entries[s.Key]
-	if e != nil && e.statement.expired(now) {
+	if e != nil && e.expired(now) {
 		t.remove(s.Key)
 		e = nil
 	}
@@ -118,7 +125,7 @@
 }
 
 // insert adds an entry, for which it makes room in a full table. t.mu must be held.
-func (t *Table) insert(now time.Time, s Statement) {
+func (t *Table) insert(now time.Time, s Statement) *entry {
 	if len(t.entries) >= maxLimits {
 		t.expire(now)
 	}
@@ -129,12 +136,13 @@
 	t.entries[s.Key] = e
 	t.size.Store(int64(len(t.entries)))
 	t.noteChange(e)
+	return e
 }
 
 // expire removes the entries that no longer matter. t.mu must be held.
 func (t *Table) expire(now time.Time) {
 	for k, e := range t.entries {
-		if e.statement.expired(now) {
+		if e.expired(now) {
 			t.remove(k)
 		}
 	}
--- a/ratelimit/updates.go
+++ b/ratelimit/updates.go
@@ -27,6 +27,8 @@
 	Rate Rate
 	// SentAgeMillis and ReceivedAgeMillis are the ages of the times of the Statement.
 	SentAgeMillis, ReceivedAgeMillis int64
+	// PauseMillis is the time for which the upstream takes no requests, or zero.
+	PauseMillis int64
 }
 
 // Valid reports whether an update that was received makes sense.
@@ -36,6 +38,9 @@
 			return false
 		}
 	}
+	if u.PauseMillis < 0 || u.PauseMillis > maxPause.Milliseconds() {
+		return false
+	}
 	return u.Key != 0 && u.ReceivedAgeMillis >= 0 && u.SentAgeMillis >= u.ReceivedAgeMillis && u.SentAgeMillis <= limitTTL.Milliseconds()*2
 }
 
@@ -48,11 +53,12 @@
 	}
 }
 
-// newUpdate returns the update that tells a statement.
-func newUpdate(now time.Time, s Statement) Update {
+// newUpdate returns the update that tells what an entry holds.
+func newUpdate(now time.Time, e *entry) Update {
+	s := e.statement
 	received := max(0, now.Sub(s.ReceivedAt)).Milliseconds()
 	sent := max(received, (now.Sub(s.SentAt) + time.Millisecond - 1).Milliseconds())
-	return Update{Key: s.Key, Rate: s.Rate, SentAgeMillis: sent, ReceivedAgeMillis: received}
+	return Update{Key: s.Key, Rate: s.Rate, SentAgeMillis: sent, ReceivedAgeMillis: received, PauseMillis: max(0, e.pausedUntil.Sub(now)).Milliseconds()}
 }
 
 // Changed returns a channel that signals that there are updates that were not sent yet.
@@ -67,7 +73,7 @@
 	}
 }
 
-// Merge adds what another host tells. It reports whether any rate changed.
+// Merge adds what another host tells. It reports whether any rate or pause changed.
 func (t *Table) Merge(now time.Time, list []Update) bool {
 	if len(list) == 0 {
 		return false
@@ -79,6 +85,8 @@
 		if before, after := t.add(now, list[i].statement(now)); before != after {
 			changed = true
 		}
+		until := now.Add(time.Duration(list[i].PauseMillis) * time.Millisecond)
+		changed = t.pause(now, list[i].Key, until) || changed
 	}
 	return changed
 }
@@ -116,7 +124,7 @@
 		var list []Update
 		for _, e := range batch {
 			e.sent++
-			list = append(list, newUpdate(now, e.statement))
+			list = append(list, newUpdate(now, e))
 		}
 		out = append(out, list)
 	}
@@ -140,7 +148,7 @@
 	var out []Update
 	for range min(len(keys), maxBatch) {
 		t.cursor = (t.cursor + 1) % len(keys)
-		out = append(out, newUpdate(now, t.entries[keys[t.cursor]].statement))
+		out = append(out, newUpdate(now, t.entries[keys[t.cursor]]))
 	}
 	return out
 }
