--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -22,9 +22,10 @@
 type Holders struct {
 	self   netip.Addr
 	domain plan.DomainID
-	// domains holds all failure domains. It is not modified.
+	mu     sync.Mutex
+	// domains holds the failure domains of the settings, and those of hosts that were ever
+	// seen.
 	domains []plan.DomainID
-	mu      sync.Mutex
 	// hosts holds the hosts of each domain that were seen lately.
 	hosts map[plan.DomainID][]netip.Addr
 	// found holds the results of find since the last call of SetHosts.
@@ -38,12 +39,10 @@
 	addr netip.Addr
 }
 
-// NewHolders returns the Holders of a host in a failure domain.
+// NewHolders returns the Holders of a host in a failure domain. The list holds all domains
+// that the settings name.
 func NewHolders(self netip.Addr, domain plan.DomainID, domains []plan.DomainID) *Holders {
-	if !slices.Contains(domains, domain) {
-		domains = append(slices.Clone(domains), domain)
-	}
-	h := &Holders{self: self, domain: domain, domains: domains}
+	h := &Holders{self: self, domain: domain, domains: slices.Clone(domains)}
 	h.SetHosts(nil)
 	return h
 }
@@ -57,11 +56,22 @@
 		h.hosts[d] = list
 	}
 	h.hosts[h.domain] = append(slices.Clone(others[h.domain]), h.self)
+	for d := range h.hosts {
+		if !slices.Contains(h.domains, d) {
+			h.domains = append(h.domains, d)
+		}
+	}
 	h.found = map[Key][]holder{}
 }
 
 // Parts returns the number of parts that each rate is divided into.
-func (h *Holders) Parts() int { return min(maxParts, len(h.domains)) }
+func (h *Holders) Parts() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.parts()
+}
+
+func (h *Holders) parts() int { return min(maxParts, len(h.domains)) }
 
 // find returns the holders of an upstream's rate. h.mu must be held.
 func (h *Holders) find(k Key) []holder {
@@ -74,7 +84,7 @@
 		return cmp.Compare(route.Hash(key, string(a)), route.Hash(key, string(b)))
 	})
 	var out []holder
-	for _, d := range domains[:h.Parts()] {
+	for _, d := range domains[:h.parts()] {
 		first := holder{domain: d}
 		lowest := uint64(0)
 		for _, a := range h.hosts[d] {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -62,6 +62,7 @@
 	}
 	violations = append(violations, f.checkKeyRegression(runs)...)
 	violations = append(violations, f.checkPoison()...)
+	violations = append(violations, f.checkLimit()...)
 	return append(violations, f.checkRetryBudget(runs)...)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -113,6 +113,11 @@
 	if seed%poisonSeeds == 0 {
 		callers.Go(func() { f.generator.sendPoison(callersCtx, rand.New(rand.NewPCG(seed, 4))) })
 	}
+	if seed%limitSeeds == 1 {
+		limitCtx, endLimit := context.WithCancel(callersCtx)
+		defer endLimit()
+		callers.Go(func() { f.limitUpstream(limitCtx, rand.New(rand.NewPCG(seed, 5))) })
+	}
 	injector := &faultInjector{t: t, fleet: f, processLocks: make([]sync.Mutex, len(f.hosts))}
 	injector.run(ctx, rng, *faultSpan, 8+rng.IntN(10))
 	f.logf("all faults ended")
@@ -131,7 +136,7 @@
 		saveLogs(t, f, seed)
 	}
 	t.Logf("%d hosts, all ready %v after the last start, %d requests, %d runs, %d complete responses%s",
-		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary)
+		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary+f.limitSummary)
 }
 
 // completedCount returns the number of requests with a complete successful response.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -82,6 +82,7 @@
 	startedAt    time.Time
 	// crashed is set from the end of the process to its next start.
 	crashed bool
+	limit   namedLimit
 }
 
 const (
@@ -171,13 +172,14 @@
 // handle handles one request. It returns false to close the connection.
 func (u *fakeUpstream) handle(conn net.Conn, r *http.Request, body string) bool {
 	id := r.Header.Get("Request-Id")
+	u.recordArrival(id)
 	mode, oddRequest := u.nextRequest()
 	if expectedInstance := r.Header.Get("Expect-Instance"); expectedInstance != u.id || mode == modeOverloaded {
 		status := http.StatusServiceUnavailable
 		if expectedInstance != u.id {
 			status = http.StatusMisdirectedRequest
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id, u.limitHeader())
 		return true
 	}
 	run := &upstreamRun{
@@ -189,7 +191,7 @@
 	defer u.runLog.endRun(run)
 	switch {
 	case strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart):
-		writeStreamHead(conn, id, u.id)
+		u.writeStreamHead(conn, id)
 		time.Sleep(poisonDelay)
 		u.crash(u)
 		return false
@@ -198,7 +200,7 @@
 		_, _ = conn.Read(make([]byte, 1))
 		return false
 	case mode == modeFailing && oddRequest:
-		fmt.Fprintf(conn, "HTTP/1.1 500 X\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: 0\r\n\r\n", id, u.id)
+		fmt.Fprintf(conn, "HTTP/1.1 500 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: 0\r\n\r\n", id, u.limitHeader(), u.id)
 		return true
 	case strings.HasPrefix(r.URL.Path, "/letter/"), strings.HasPrefix(r.URL.Path, "/draft/"):
 		return u.serveStream(conn, r, id, mode == modeTruncating && oddRequest)
@@ -206,10 +208,10 @@
 	time.Sleep(rand.N(maxWorkTime))
 	response := responseBody(id)
 	if mode == modeTruncating && oddRequest {
-		fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.id, len(response), response[:len(response)/2])
+		fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.limitHeader(), u.id, len(response), response[:len(response)/2])
 		return false
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.id, len(response), response)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.limitHeader(), u.id, len(response), response)
 	return err == nil
 }
 
@@ -217,7 +219,7 @@
 // truncate is set it breaks off in the middle of the fourth event that it sends. It
 // returns false to close the connection.
 func (u *fakeUpstream) serveStream(conn net.Conn, r *http.Request, id string, truncate bool) bool {
-	writeStreamHead(conn, id, u.id)
+	u.writeStreamHead(conn, id)
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	for i := last + 1; i <= eventCount(r.URL.Path); i++ {
 		time.Sleep(eventInterval)
@@ -234,8 +236,8 @@
 	return err == nil
 }
 
-func writeStreamHead(conn net.Conn, requestID, upstreamID string) {
-	fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", requestID, upstreamID)
+func (u *fakeUpstream) writeStreamHead(conn net.Conn, requestID string) {
+	fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", requestID, u.limitHeader(), u.id)
 }
 
 // responseBody returns the complete response body of a request without a stream.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -48,6 +48,11 @@
 	poisonCrashes []time.Time
 	// poisonSummary is the result of checkPoison in words.
 	poisonSummary string
+	// limited is the upstream that names limitedRate, or nil, and limitSummary the result of
+	// checkLimit in words.
+	limited      *fakeUpstream
+	limitedRate  float64
+	limitSummary string
 	// eventLog holds timestamped lines that are printed if the run fails.
 	eventLog  []string
 	startedAt time.Time
