Let hosts that can't be heard keep their parts of a rate, and leaving ones give them up

Hosts forget others after a minute. In a cut inside a domain that lasts longer, the host next in rank on the other side would have given out the same part once more, so that the upstream got up to twice its rate. Parts now stay with hosts that can't be heard for ten minutes.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -346,6 +346,7 @@
 	if h.stopping.Swap(true) {
 		return
 	}
+	h.gossipNode.Leave()
 	startedAt := time.Now()
 	h.log.Info("planned stop began", "running", h.gateway.InFlight())
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(h.bounds.Load().StopGracePeriod-stopMargin))
--- a/gossip/limits.go
+++ b/gossip/limits.go
@@ -55,13 +55,27 @@
 	}
 }
 
-// hostsByDomain returns the other hosts that have not been forgotten.
-func (m *Members) hostsByDomain() map[plan.DomainID][]netip.Addr {
-	out := map[plan.DomainID][]netip.Addr{}
+// hostsByDomain returns the other hosts that have not been forgotten, and those of them that
+// said that they are leaving.
+func (m *Members) hostsByDomain() (hosts map[plan.DomainID][]netip.Addr, leaving map[netip.Addr]bool) {
+	hosts, leaving = map[plan.DomainID][]netip.Addr{}, map[netip.Addr]bool{}
 	for _, x := range m.members {
 		if x.domain != "" {
-			out[x.domain] = append(out[x.domain], x.addr)
+			hosts[x.domain] = append(hosts[x.domain], x.addr)
+		}
+		if x.leaving {
+			leaving[x.addr] = true
 		}
 	}
-	return out
+	return hosts, leaving
+}
+
+// Leave tells the other hosts that this one stops, so that others give out the permits that
+// it gave out.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.Limiter.Holders.Leave()
+	n.send(n.Now(), true)
 }
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -42,6 +42,8 @@
 	host   plan.HostID
 	domain plan.DomainID
 	role   Role
+	// leaving is set if the host said so in its last message.
+	leaving bool
 	// lastHeard and lastSent are when the last message was received and sent.
 	// lastSeen is when any host last heard it, as far as this host knows.
 	lastHeard, lastSent, lastSeen time.Time
@@ -108,7 +110,7 @@
 	if x == nil || x.incarnation == msg.Incarnation && msg.Sequence <= x.sequence {
 		return false
 	}
-	x.host, x.domain, x.role, x.lastHeard = msg.Host, msg.Domain, msg.Role, now
+	x.host, x.domain, x.role, x.leaving, x.lastHeard = msg.Host, msg.Domain, msg.Role, msg.Leaving, now
 	x.incarnation, x.sequence = msg.Incarnation, msg.Sequence
 	x.tableVersion, x.revision = msg.TableVersion, msg.Revision
 	x.reader = readerNews{addr: msg.Reader, at: now.Add(-msg.ReaderAge)}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -113,6 +113,8 @@
 	// Ask is set in messages of KindPermitAsk, Decision in those of KindPermitDecision.
 	Ask      *ratelimit.Ask      `cbor:"18,keyasint,omitempty"`
 	Decision *ratelimit.Decision `cbor:"19,keyasint,omitempty"`
+	// Leaving is set while the sender stops.
+	Leaving bool `cbor:"20,keyasint,omitempty"`
 }
 
 // carriesReport reports whether the message describes load.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -108,6 +108,8 @@
 	suspectRounds int
 	// limitRounds counts the calls of tellLimits that had something to tell.
 	limitRounds int
+	// leaving is set while the host stops.
+	leaving bool
 	// pendingAsks holds the asks for permits that are not answered, by their number.
 	pendingAsks map[uint64]*pendingAsk
 	lastAsk     uint64
--- a/gossip/ratelimit_faults_test.go
+++ b/gossip/ratelimit_faults_test.go
@@ -15,6 +15,8 @@
 	loss float64
 	// trouble is called each second, with its number.
 	trouble func(d *limitDay, second int)
+	// seconds is how long the trouble is played.
+	seconds int
 	// minUsed is the share of the rate that has to be used meanwhile.
 	minUsed float64
 }
@@ -49,6 +51,18 @@
 		{name: "a domain is cut off", loss: 0.01, minUsed: 0.7, trouble: func(d *limitDay, second int) {
 			d.cutDomain(second >= 3 && second < 25)
 		}},
+		{name: "every other host is cut from the rest for 90 s", loss: 0.01, seconds: 110, trouble: func(d *limitDay, second int) {
+			d.cutEveryOther(second >= 3 && second < 93)
+		}},
+		{name: "hosts stop as planned, others join", loss: 0.01, minUsed: 0.7, trouble: func(d *limitDay, second int) {
+			switch second % 6 {
+			case 2:
+				d.hosts[second%len(d.hosts)].Leave()
+			case 5:
+				d.hosts[(second-3)%len(d.hosts)].down = true
+				d.join()
+			}
+		}},
 		{name: "every other host is cut from the rest", loss: 0.01, trouble: func(d *limitDay, second int) {
 			d.cutEveryOther(second >= 3 && second < 25)
 		}},
@@ -92,7 +106,7 @@
 					d := newLimitDay(t, size.domains, size.hostsPerDomain, c.loss, rate)
 					d.run(5*time.Second, d.step)
 					from := d.now
-					for second := range 30 {
+					for second := range max(30, c.seconds) {
 						if c.trouble != nil {
 							c.trouble(d, second)
 						}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -22,7 +22,8 @@
 	view := fleetView{live: n.members.LiveCount(now), role: n.role, mustRead: n.members.MustRead(now, reading)}
 	n.knownCount.Store(int64(n.members.KnownCount() + n.Balancer.RemoteHostCount()))
 	n.logView(now, view)
-	n.Limiter.Holders.SetHosts(n.members.hostsByDomain())
+	hosts, leaving := n.members.hostsByDomain()
+	n.Limiter.Holders.SetHosts(now, hosts, leaving)
 	n.mu.Unlock()
 	n.Lists.SetMustRead(view.mustRead)
 	n.Balancer.SetSources(now, view.role >= RoleSpeaker, view.role == RoleReporter)
@@ -82,7 +83,7 @@
 	reading := n.Lists.Reading()
 	n.mu.Lock()
 	n.sequence++
-	msg.Sequence, msg.Role, msg.Group = n.sequence, n.role, n.group
+	msg.Sequence, msg.Role, msg.Group, msg.Leaving = n.sequence, n.role, n.group, n.leaving
 	if msg.carriesReport() {
 		msg.Peers = n.peers
 	}
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"time"
 
 	"mulberrydyke/plan"
 	"mulberrydyke/route"
@@ -15,6 +16,11 @@
 // its own. More would make the parts of low rates too small to use.
 const maxParts = 3
 
+// hostTTL is how long a host that can't be heard keeps its parts. It may be cut off and go
+// on giving out permits, so another host must not take its place soon. A host that stops as
+// planned says so.
+const hostTTL = 10 * time.Minute
+
 // Holders finds the hosts that give out the parts of each upstream's rate: in each of up to
 // maxParts failure domains the one that rendezvous hashing names. All hosts that were seen
 // lately count, whether they can be reached or not, and all domains that the settings name,
@@ -26,9 +32,11 @@
 	// domains holds the failure domains of the settings, and those of hosts that were ever
 	// seen.
 	domains []plan.DomainID
-	// hosts holds the hosts of each domain that were seen lately.
-	hosts map[plan.DomainID][]netip.Addr
-	// found holds the results of find since the last call of SetHosts.
+	// hosts holds the hosts of each domain that were seen within hostTTL, and when each was.
+	hosts map[plan.DomainID]map[netip.Addr]time.Time
+	// leaving is set while this host stops.
+	leaving bool
+	// found holds the results of find since the hosts last changed.
 	found map[Key][]holder
 }
 
@@ -42,28 +50,52 @@
 // NewHolders returns the Holders of a host in a failure domain. The list holds all domains
 // that the settings name.
 func NewHolders(self netip.Addr, domain plan.DomainID, domains []plan.DomainID) *Holders {
-	h := &Holders{self: self, domain: domain, domains: slices.Clone(domains)}
-	h.SetHosts(nil)
+	h := &Holders{self: self, domain: domain, domains: slices.Clone(domains), hosts: map[plan.DomainID]map[netip.Addr]time.Time{}, found: map[Key][]holder{}}
+	if !slices.Contains(domains, domain) {
+		h.domains = append(h.domains, domain)
+	}
 	return h
 }
 
-// SetHosts replaces the other hosts that were seen lately.
-func (h *Holders) SetHosts(others map[plan.DomainID][]netip.Addr) {
+// SetHosts tells which other hosts are known now, and which of all hosts said that they are
+// leaving, which give out nothing any more.
+func (h *Holders) SetHosts(now time.Time, others map[plan.DomainID][]netip.Addr, leaving map[netip.Addr]bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.hosts = map[plan.DomainID][]netip.Addr{}
 	for d, list := range others {
-		h.hosts[d] = list
+		for _, a := range list {
+			h.see(now, d, a)
+		}
 	}
-	h.hosts[h.domain] = append(slices.Clone(others[h.domain]), h.self)
-	for d := range h.hosts {
-		if !slices.Contains(h.domains, d) {
-			h.domains = append(h.domains, d)
+	for d, seen := range h.hosts {
+		for a, at := range seen {
+			if leaving[a] || now.Sub(at) > hostTTL {
+				delete(h.hosts[d], a)
+			}
 		}
 	}
 	h.found = map[Key][]holder{}
 }
 
+// see records that a host was seen. h.mu must be held.
+func (h *Holders) see(now time.Time, d plan.DomainID, a netip.Addr) {
+	if h.hosts[d] == nil {
+		h.hosts[d] = map[netip.Addr]time.Time{}
+	}
+	h.hosts[d][a] = now
+	if !slices.Contains(h.domains, d) {
+		h.domains = append(h.domains, d)
+	}
+}
+
+// Leave makes this host give out no more permits, because it stops.
+func (h *Holders) Leave() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.leaving = true
+	h.found = map[Key][]holder{}
+}
+
 // Parts returns the number of parts that each rate is divided into.
 func (h *Holders) Parts() int {
 	h.mu.Lock()
@@ -87,11 +119,17 @@
 	for _, d := range domains[:h.parts()] {
 		first := holder{domain: d}
 		lowest := uint64(0)
-		for _, a := range h.hosts[d] {
+		consider := func(a netip.Addr) {
 			if hash := route.Hash(key, a.String()); !first.addr.IsValid() || hash < lowest {
 				first.addr, lowest = a, hash
 			}
 		}
+		for a := range h.hosts[d] {
+			consider(a)
+		}
+		if d == h.domain && !h.leaving {
+			consider(h.self)
+		}
 		out = append(out, first)
 	}
 	h.found[k] = out
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -137,7 +137,7 @@
 		{"b": {netip.MustParseAddr("10.1.0.1")}},
 		{"a": {netip.MustParseAddr("10.0.0.2")}, "b": {netip.MustParseAddr("10.1.0.1")}, "c": {netip.MustParseAddr("10.2.0.1")}},
 	} {
-		h.SetHosts(others)
+		h.SetHosts(start, others, nil)
 		if n := h.Parts(); n != maxParts {
 			t.Errorf("%d parts, want %d", n, maxParts)
 		}
@@ -169,7 +169,7 @@
 				others[d] = list
 			}
 			others[name] = append(append([]netip.Addr{}, hosts[name][:i]...), hosts[name][i+1:]...)
-			h.SetHosts(others)
+			h.SetHosts(start, others, nil)
 			for k := range Key(keys) {
 				for _, holder := range h.Of(k + 1) {
 					asked[fmt.Sprint(k, holder)]++
