--- a/fault/fleet_test.go
+++ b/fault/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"mulberrydyke/admin"
 	"mulberrydyke/load"
+	"mulberrydyke/member"
 	"mulberrydyke/plan"
 	"mulberrydyke/setting"
 	"mulberrydyke/standin"
@@ -105,6 +106,10 @@
 	return v
 }
 
+// startTimeout is the time within which the hosts of a new fleet must know their own lists,
+// and each other.
+const startTimeout = 20 * time.Second
+
 // newFleet starts upstreams, platforms and hosts, and waits until all hosts are ready.
 func newFleet(t *testing.T, o fleetOptions) *fleet {
 	t.Helper()
@@ -124,34 +129,50 @@
 		f.platforms = append(f.platforms, standin.NewPlatform())
 	}
 	f.publishAll()
+	// The platforms of the domains publish different addresses under the same version, so a
+	// host must not get the lists of another domain before it has read its own.
+	f.setPeerLinks(Disconnect)
 	for _, h := range f.hosts {
 		f.writeSettings(h, o)
 		f.start(h)
 	}
 	f.awaitReady()
-	f.restartUntilOwnLists()
+	f.eventually(startTimeout, "all hosts use the lists of their own domains", f.allHaveOwnLists)
+	f.setPeerLinks(Pass)
+	f.eventually(startTimeout, "all hosts know the other domains", f.knowOtherDomains)
 	return f
 }
 
-// restartUntilOwnLists restarts all hosts until each uses the addresses of its own
-// domain's proxies. The platforms of the domains publish different addresses under the
-// same version. A host that receives the version from another domain before it has read
-// its own platform therefore uses the addresses of that domain.
-func (f *fleet) restartUntilOwnLists() {
-	const maxRestarts = 20
-	for range maxRestarts {
-		if !slices.ContainsFunc(f.hosts, func(h *host) bool { return !f.hasOwnLists(h) }) {
-			return
+// setPeerLinks sets the mode of all links from hosts to hosts of other domains.
+func (f *fleet) setPeerLinks(mode Mode) {
+	for key, proxy := range f.proxies {
+		isHost := slices.ContainsFunc(f.hosts, func(h *host) bool { return string(h.id) == key.target })
+		if isHost && f.domainOf(key.target) != key.fromDomain {
+			proxy.SetMode(mode)
 		}
-		for _, h := range f.hosts {
-			f.kill(h)
+	}
+}
+
+// allHaveOwnLists reports whether each host uses the addresses of its own domain's proxies.
+func (f *fleet) allHaveOwnLists() bool {
+	return !slices.ContainsFunc(f.hosts, func(h *host) bool { return !f.hasOwnLists(h) })
+}
+
+// knowOtherDomains reports whether each host knows a live host in every domain.
+func (f *fleet) knowOtherDomains() bool {
+	for _, h := range f.hosts {
+		s, ok := f.status(h)
+		domains := map[plan.DomainID]bool{load.DomainID(h.domain): true}
+		for _, peer := range s.Hosts {
+			if peer.Condition == member.Live {
+				domains[peer.Identity.Domain] = true
+			}
 		}
-		for _, h := range f.hosts {
-			f.start(h)
+		if !ok || len(domains) < f.domainCount {
+			return false
 		}
-		f.awaitReady()
 	}
-	f.t.Fatal("hosts still use the lists of another domain")
+	return true
 }
 
 // hasOwnLists reports whether a host uses the addresses of its own domain's proxies.
