Resume streams over a new connection

A trace shows another cause: the request that ran twice had begun 70 ms before the fault, and again 6.02 s after it. That is three times the 2 s in which a stream has to make progress: each of its two resumes went out over an idle connection that had gone silent too, and then no resume was left.

TestStalledStreamIsResumedOverANewConnection failed before with both resumes used up.

--- a/upstream/client.go
+++ b/upstream/client.go
@@ -48,7 +48,7 @@
 	address         string
 	progressTimeout time.Duration
 	// pooled reuses connections. unpooled opens one for each request and is used
-	// for requests that must not run twice.
+	// for requests that must not run twice and to resume streams.
 	pooled, unpooled httpc.Service
 	// transports holds the transport of pooled, then that of unpooled.
 	transports [2]*http.Transport
@@ -94,8 +94,10 @@
 	Body   []byte
 	// Ticket is set on a request that must not run twice. It is sent over a new
 	// connection.
-	Ticket   string
-	Priority int
+	Ticket string
+	// NewConnection opens a connection for the request, since the pooled ones may be silent.
+	NewConnection bool
+	Priority      int
 	// Prompt is the estimated length of the prompt. An engine shows no progress
 	// while it processes the prompt, so a long one extends the timeout of the
 	// first event.
@@ -132,8 +134,10 @@
 	request.Header.Set(RequestIDHeader, r.ID)
 	request.Header.Set(PriorityHeader, strconv.Itoa(r.Priority))
 	service := c.pooled
-	if r.Ticket != "" {
+	if r.Ticket != "" || r.NewConnection {
 		service = c.unpooled
+	}
+	if r.Ticket != "" {
 		request.Header.Set(TicketHeader, r.Ticket)
 	}
 	sentAt := time.Now()
--- a/upstream/stream.go
+++ b/upstream/stream.go
@@ -119,7 +119,7 @@
 // not run, for example because the engine no longer holds the run, it returns
 // previousErr and allows no further resumes.
 func (s *stream) resume(ctx context.Context, path string, previousErr error) error {
-	err := s.readConnection(ctx, Request{ID: s.request.ID, Method: http.MethodGet, Path: path, Ticket: s.request.Ticket})
+	err := s.readConnection(ctx, Request{ID: s.request.ID, Method: http.MethodGet, Path: path, Ticket: s.request.Ticket, NewConnection: true})
 	var e *Error
 	if errors.As(err, &e) && e.NotRun() {
 		s.summary.Resumes = maxResumes
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
+	"mulberrydyke/fault"
 	"mulberrydyke/plan"
 )
 
@@ -112,6 +114,57 @@
 	}
 }
 
+// TestStalledStreamIsResumedOverANewConnection guards against a stream that is resumed over
+// idle connections which went silent together with its own, until no resume is left, and is
+// then run a second time on another engine.
+func TestStalledStreamIsResumedOverANewConnection(t *testing.T) {
+	release := make(chan struct{})
+	warmedUp := make(chan struct{})
+	warmUps := make(chan struct{}, 3)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(InstanceHeader, "p1")
+		switch {
+		case r.URL.Path == "/v1/load":
+			warmUps <- struct{}{}
+			<-warmedUp
+			fmt.Fprint(w, "{}")
+		case r.Method == http.MethodPost:
+			fmt.Fprint(w, tokenEvent("own", 0))
+			_ = http.NewResponseController(w).Flush()
+			<-release
+		default:
+			fmt.Fprint(w, tokenEvent("own", 1), "id: 2\ndata: [DONE]\n\n")
+		}
+	}))
+	defer server.Close()
+	defer close(release)
+	proxy, closeProxy, err := fault.NewProxy(server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeProxy()
+	c, cleanup := NewClient(plan.Upstream{ID: "u", Address: proxy.Address()}, testProgressTimeout)
+	defer cleanup()
+	var reads sync.WaitGroup
+	for range cap(warmUps) {
+		reads.Go(func() { _, _ = c.LoadReport(context.Background()) })
+	}
+	for range cap(warmUps) {
+		<-warmUps
+	}
+	close(warmedUp)
+	reads.Wait()
+	text := ""
+	summary, err := c.Generate(context.Background(), Request{ID: "own", Method: http.MethodPost, Path: "/v1/chat/completions"}, 1<<20,
+		func(time.Duration) { proxy.SetMode(fault.StallExisting) }, func(e Event) error {
+			text += e.Text
+			return nil
+		})
+	if err != nil || text != "t0 t1 " || summary.Resumes != 1 {
+		t.Errorf("got %q, %+v, %v", text, summary, err)
+	}
+}
+
 func TestStalledStreamIsAborted(t *testing.T) {
 	release := make(chan struct{})
 	c := startUpstream(t, func(w http.ResponseWriter, _ *http.Request) {
