--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -11,7 +11,6 @@
 package pool
 
 import (
-	"slices"
 	"time"
 
 	"mulberrydyke/plan"
@@ -46,17 +45,6 @@
 	takeoverHold = 250 * time.Millisecond
 )
 
-// run is a granted request.
-type run struct {
-	req       Request
-	backend   *backend
-	work      Work
-	huge      bool
-	suspect   bool
-	started   bool
-	grantedAt time.Time
-}
-
 // Scheduler is the state machine that schedules the requests of one pool.
 type Scheduler struct {
 	tiers    [plan.LowestTier + 1]*tierQueue
@@ -323,66 +311,6 @@
 	}
 }
 
-// finishProbe marks an upstream on probation as healthy after a successful run,
-// or as down again if it is still a straggler.
-func (s *Scheduler) finishProbe(now time.Time, b *backend, tokenInterval time.Duration) {
-	median := s.medianTokenInterval()
-	if b.straggler && median > 0 && float64(tokenInterval) > recoveryFactor*float64(median) {
-		b.markDown(now)
-		return
-	}
-	b.markHealthy()
-}
-
-// medianTokenInterval returns the median token interval of the upstreams, or zero
-// if too few have been measured.
-func (s *Scheduler) medianTokenInterval() time.Duration {
-	if cap(s.intervalBuf) < len(s.backends) {
-		s.intervalBuf = make([]time.Duration, 0, len(s.backends))
-	}
-	return medianTokenInterval(s.backends, s.intervalBuf)
-}
-
-// recycleRun keeps a run record for reuse.
-func (s *Scheduler) recycleRun(r *run) {
-	*r = run{}
-	s.freeRuns = append(s.freeRuns, r)
-}
-
-// removeRun removes a run from the scheduler and from the counts of its upstream.
-func (s *Scheduler) removeRun(id RequestID, r *run) {
-	b := r.backend
-	b.inFlight--
-	b.work -= r.work
-	if r.suspect {
-		b.suspectRuns--
-	}
-	if !r.started {
-		b.pendingPrefill -= r.req.prefillTokens()
-	}
-	if r.huge && !r.started {
-		b.hugePrefills--
-	}
-	s.removeUnproven(r)
-	delete(s.runs, id)
-}
-
-// removeUnproven removes the upstream of a run from those that are running its
-// unproven content.
-func (s *Scheduler) removeUnproven(r *run) {
-	running := s.unproven[r.req.Content]
-	i := slices.Index(running, r.backend)
-	if i < 0 {
-		return
-	}
-	running = slices.Delete(running, i, i+1)
-	if len(running) == 0 {
-		delete(s.unproven, r.req.Content)
-		return
-	}
-	s.unproven[r.req.Content] = running
-}
-
 // handleLoadReported records the memory usage of an upstream, unless a newer
 // report has arrived already.
 func (s *Scheduler) handleLoadReported(now time.Time, e *LoadReported) {
@@ -449,29 +377,3 @@
 	}
 	s.ejectStragglers(now)
 }
-
-// ejectStragglers marks upstreams as down that are much slower than the median,
-// as long as the unhealthy ones stay a limited fraction of the pool.
-func (s *Scheduler) ejectStragglers(now time.Time) {
-	median := s.medianTokenInterval()
-	if median == 0 {
-		return
-	}
-	unhealthy := 0
-	for _, b := range s.backends {
-		if b.health != healthy {
-			unhealthy++
-		}
-	}
-	for _, b := range s.backends {
-		if float64(unhealthy+1) > max(1, maxEjectedFraction*float64(len(s.backends))) {
-			return
-		}
-		slow := b.speedSamples >= minSpeedSamples && float64(b.tokenInterval) > stragglerFactor*float64(median)
-		if b.health == healthy && slow {
-			b.straggler = true
-			b.markDown(now)
-			unhealthy++
-		}
-	}
-}
