Tell changes of suspects and of rate limits by one loop

Both are sent at once, to the same hosts, by two copies of a loop; now there is one. Reminders of limits advance only in rounds that send them.

--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -157,7 +157,7 @@
 	if h.down {
 		return
 	}
-	f.runUpdate(h.Quarantine.Changed(), &h.lastUpdates, h.sendUpdates)
+	f.runUpdate(h.Quarantine.Changed(), &h.lastUpdates, h.sendSuspectUpdates)
 	f.runUpdate(h.Limiter.Changed(), &h.lastLimits, h.sendLimitUpdates)
 }
 
--- a/gossip/limits.go
+++ b/gossip/limits.go
@@ -1,35 +1,17 @@
 package gossip
 
 import (
-	"context"
 	"net/netip"
 	"time"
-
-	"mulberrydyke/clock"
-	"mulberrydyke/plan"
 )
 
-// runLimitUpdates tells other hosts of changed rate limits of upstreams as soon as there are
-// any, until ctx ends.
-func (n *Node) runLimitUpdates(ctx context.Context) {
-	for {
-		select {
-		case <-n.Limiter.Changed():
-			n.sendLimitUpdates(n.Now())
-			clock.Sleep(ctx, updateInterval)
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // sendLimitUpdates tells all live hosts of the group, and those that a speaker or a reporter
 // speaks to, of the rate limits that this host has not told yet. What it was told itself it
 // passes on in the same way, so that a change reaches all hosts though some datagrams are
 // lost.
 func (n *Node) sendLimitUpdates(now time.Time) {
 	n.mu.Lock()
-	targets := n.members.SuspectTargets(now, addresses(n.members.liveInGroup(now)))
+	targets := n.members.UpdateTargets(now, addresses(n.members.liveInGroup(now)))
 	n.mu.Unlock()
 	for _, limits := range n.Limiter.Unsent(now) {
 		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
@@ -45,29 +27,17 @@
 	n.mu.Lock()
 	n.limitRounds++
 	remind := n.limitRounds%reminderRounds == 0
-	targets := n.members.SuspectTargets(now, group)
+	targets := n.members.UpdateTargets(now, group)
 	n.mu.Unlock()
 	for _, limits := range n.Limiter.Next(now) {
 		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
 	}
-	if limits := n.Limiter.Reminders(now); remind && len(limits) > 0 {
-		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
+	if !remind {
+		return
 	}
-}
-
-// hostsByDomain returns the other hosts that have not been forgotten, and those of them that
-// said that they are leaving.
-func (m *Members) hostsByDomain() (hosts map[plan.DomainID][]netip.Addr, leaving map[netip.Addr]bool) {
-	hosts, leaving = map[plan.DomainID][]netip.Addr{}, map[netip.Addr]bool{}
-	for _, x := range m.members {
-		if x.domain != "" {
-			hosts[x.domain] = append(hosts[x.domain], x.addr)
-		}
-		if x.leaving {
-			leaving[x.addr] = true
-		}
+	if limits := n.Limiter.Reminders(now); len(limits) > 0 {
+		n.sendMessage(now, targets, Message{Kind: KindLimits, Limits: limits})
 	}
-	return hosts, leaving
 }
 
 // Leave tells the other hosts that this one stops, so that others give out the permits that
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -231,6 +231,21 @@
 	return n
 }
 
+// hostsByDomain returns the other hosts that have not been forgotten, and those of them that
+// said that they are leaving.
+func (m *Members) hostsByDomain() (hosts map[plan.DomainID][]netip.Addr, leaving map[netip.Addr]bool) {
+	hosts, leaving = map[plan.DomainID][]netip.Addr{}, map[netip.Addr]bool{}
+	for _, x := range m.members {
+		if x.domain != "" {
+			hosts[x.domain] = append(hosts[x.domain], x.addr)
+		}
+		if x.leaving {
+			leaving[x.addr] = true
+		}
+	}
+	return hosts, leaving
+}
+
 // PeerWithNewerLists returns a live host whose lists are newer than the given
 // versions, or false. Hosts of the local domain are preferred, then those with
 // the highest revision. The choice among equals depends on the round and on
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -206,8 +206,8 @@
 	defer startTicker.Stop()
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { n.runUpdates(ctx) })
-	tasks.Go(func() { n.runLimitUpdates(ctx) })
+	tasks.Go(func() { n.runUpdates(ctx, n.Quarantine.Changed(), n.sendSuspectUpdates) })
+	tasks.Go(func() { n.runUpdates(ctx, n.Limiter.Changed(), n.sendLimitUpdates) })
 	n.send(n.Now(), false)
 	for {
 		select {
--- a/gossip/suspects.go
+++ b/gossip/suspects.go
@@ -10,20 +10,20 @@
 )
 
 const (
-	// updateInterval is the minimum time between two calls of sendUpdates.
+	// updateInterval is the minimum time between two messages of one kind that are sent at once.
 	updateInterval = 50 * time.Millisecond
 	// reminderRounds is the number of rounds from one reminder of the requests in
 	// quarantine to the next.
 	reminderRounds = 2
 )
 
-// runUpdates tells other hosts of new suspects as soon as there are any, until ctx
-// ends.
-func (n *Node) runUpdates(ctx context.Context) {
+// runUpdates calls send each time that changed signals something to tell other hosts, at
+// most once per updateInterval, until ctx ends.
+func (n *Node) runUpdates(ctx context.Context, changed <-chan struct{}, send func(time.Time)) {
 	for {
 		select {
-		case <-n.Quarantine.Changed():
-			n.sendUpdates(n.Now())
+		case <-changed:
+			send(n.Now())
 			clock.Sleep(ctx, updateInterval)
 		case <-ctx.Done():
 			return
@@ -31,12 +31,12 @@
 	}
 }
 
-// sendUpdates tells all live hosts of the group, and those that a speaker or a
+// sendSuspectUpdates tells all live hosts of the group, and those that a speaker or a
 // reporter speaks to, of what they were not sent yet. Hosts that speak for nobody
 // leave it to the others to pass on at once what they were told.
-func (n *Node) sendUpdates(now time.Time) {
+func (n *Node) sendSuspectUpdates(now time.Time) {
 	n.mu.Lock()
-	role, targets := n.role, n.members.SuspectTargets(now, addresses(n.members.liveInGroup(now)))
+	role, targets := n.role, n.members.UpdateTargets(now, addresses(n.members.liveInGroup(now)))
 	n.mu.Unlock()
 	for _, suspects := range n.Quarantine.UnsentUpdates(now, role < RoleSpeaker) {
 		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
@@ -50,7 +50,7 @@
 	n.mu.Lock()
 	n.suspectRounds++
 	remind := n.suspectRounds%reminderRounds == 0
-	targets := n.members.SuspectTargets(now, group)
+	targets := n.members.UpdateTargets(now, group)
 	n.mu.Unlock()
 	for _, suspects := range n.Quarantine.NextUpdates(now) {
 		n.sendMessage(now, targets, Message{Kind: KindSuspects, Suspects: suspects})
--- a/gossip/targets.go
+++ b/gossip/targets.go
@@ -50,10 +50,10 @@
 	return t
 }
 
-// SuspectTargets returns the recipients of suspects: the given hosts of the group, the
+// UpdateTargets returns the recipients of suspects and rate limits: the given hosts of the group, the
 // speakers of the other groups if this host is a speaker, and the reporters of the other
 // domains if it is a reporter. Unlike those of reports they don't take turns.
-func (m *Members) SuspectTargets(now time.Time, group []netip.Addr) []netip.Addr {
+func (m *Members) UpdateTargets(now time.Time, group []netip.Addr) []netip.Addr {
 	out := slices.Clone(group)
 	role := m.Role(now)
 	if role >= RoleSpeaker {
