Describe how hosts keep to rates, and name the types of holders by what they are

In package ratelimit a process that asks and the bucket of one part get names of their own, so that they can't be taken for Asker and Bucket.

--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -80,12 +80,12 @@
 	// readyAt is when the host may give out its first permit.
 	readyAt time.Time
 	mu      sync.Mutex
-	buckets map[Key]*bucket
+	buckets map[Key]*partBucket
 }
 
 // NewGrantor returns the Grantor of a host that has just started.
 func NewGrantor(now time.Time, holders *Holders) *Grantor {
-	return &Grantor{holders: holders, readyAt: now.Add(settleTime), buckets: map[Key]*bucket{}}
+	return &Grantor{holders: holders, readyAt: now.Add(settleTime), buckets: map[Key]*partBucket{}}
 }
 
 // Decide answers an ask for a permit to send a request to an upstream with the given rate.
@@ -104,7 +104,7 @@
 	defer g.mu.Unlock()
 	b := g.buckets[a.Key]
 	if b == nil {
-		b = newBucket(now, float64(part)/float64(g.holders.Parts()))
+		b = newPartBucket(now, float64(part)/float64(g.holders.Parts()))
 		g.buckets[a.Key] = b
 		g.expire(now)
 	}
@@ -122,38 +122,38 @@
 	}
 }
 
-// bucket gives out permits for the part of one upstream's rate. It starts with less than one
+// partBucket gives out permits for one part of an upstream's rate. It starts with less than one
 // permit, a different fraction for each part, so that the permits of all parts accrue one
 // after the other.
-type bucket struct {
+type partBucket struct {
 	permits Bucket
 	part    Rate
 	// lastUsed is when the bucket was last asked for a permit.
 	lastUsed time.Time
 	classes  classes
-	askers   map[asker]lastAsk
+	askers   map[process]lastAsk
 	// granted holds when asks were granted lately.
 	granted map[AskID]time.Time
 }
 
-// asker is one process of a host that asks for permits.
-type asker struct {
+// process is one process of a host that asks for permits.
+type process struct {
 	host        plan.HostID
 	incarnation uint64
 }
 
-// lastAsk is the last ask of an asker.
+// lastAsk is the last ask of a process.
 type lastAsk struct {
 	at      time.Time
 	urgency int
 }
 
-func newBucket(now time.Time, tokens float64) *bucket {
-	return &bucket{permits: NewBucket(now, tokens), lastUsed: now, askers: map[asker]lastAsk{}, granted: map[AskID]time.Time{}}
+func newPartBucket(now time.Time, tokens float64) *partBucket {
+	return &partBucket{permits: NewBucket(now, tokens), lastUsed: now, askers: map[process]lastAsk{}, granted: map[AskID]time.Time{}}
 }
 
 // refill adds the permits that have accrued for a part of a rate.
-func (b *bucket) refill(now time.Time, part Rate) {
+func (b *partBucket) refill(now time.Time, part Rate) {
 	b.permits.Refill(now, part)
 	b.part, b.lastUsed = part, now
 }
@@ -161,12 +161,12 @@
 // decide answers an ask. It returns the time until the next one if it is not granted. An
 // ask that was granted before is granted again without another permit, since its answer
 // got lost.
-func (b *bucket) decide(now time.Time, id AskID, urgency int) (granted bool, retryAfter time.Duration) {
+func (b *partBucket) decide(now time.Time, id AskID, urgency int) (granted bool, retryAfter time.Duration) {
 	b.forget(now)
 	if _, ok := b.granted[id]; ok {
 		return true, 0
 	}
-	b.askers[asker{id.Host, id.Incarnation}] = lastAsk{at: now, urgency: urgency}
+	b.askers[process{id.Host, id.Incarnation}] = lastAsk{at: now, urgency: urgency}
 	wait := b.permits.Wait()
 	if left := headStart - b.permits.Saved(); wait == 0 && left > 0 && !b.classes.mayGo(now, urgency) {
 		wait = left
@@ -179,13 +179,13 @@
 	}
 	spread := b.spread(urgency)
 	b.classes.recordDenial(now, urgency, wait+2*spread)
-	turn := route.UnitFraction(route.Hash(string(id.Host), strconv.FormatUint(id.Number, 16)))
-	return false, max(minRetryAfter, wait+time.Duration(2*turn*float64(spread)))
+	fraction := route.UnitFraction(route.Hash(string(id.Host), strconv.FormatUint(id.Number, 16)))
+	return false, max(minRetryAfter, wait+time.Duration(2*fraction*float64(spread)))
 }
 
 // spread returns the mean time over which asks are spread, so that there are not many more
 // than the holder wants. Less urgent askers don't count.
-func (b *bucket) spread(urgency int) time.Duration {
+func (b *partBucket) spread(urgency int) time.Duration {
 	n := 0
 	for _, last := range b.askers {
 		if last.urgency <= urgency {
@@ -197,7 +197,7 @@
 }
 
 // forget removes askers and grants that are too old to matter.
-func (b *bucket) forget(now time.Time) {
+func (b *partBucket) forget(now time.Time) {
 	for id, at := range b.granted {
 		if now.Sub(at) > grantTTL {
 			delete(b.granted, id)
--- a/ratelimit/rate.go
+++ b/ratelimit/rate.go
@@ -1,8 +1,11 @@
 // Package ratelimit keeps the requests of all hosts together within the rates that
-// upstreams announce. A Table holds what upstreams said of their limits, wherever it was
-// heard.
+// upstreams announce, without a coordinator. A Table holds what upstreams said of their
+// limits, to this host or to others. Each rate is divided into parts, and Holders finds the
+// host that gives out permits for each of them. There a Grantor decides on the asks of the
+// other hosts, which remember its answers in an Asker. A Limiter holds all of these.
 //
-// Nothing here has a clock or does I/O: the current time is an argument.
+// Nothing here has a clock or does I/O: the current time is an argument. How hosts send each
+// other limits and asks is up to package gossip.
 package ratelimit
 
 import (
