End a request whose caller leaves while it asks for a permit

A host whose caller left during an ask got no permit, found that the same upstream might take the request now, and asked again without a pause and without end: one core busy for each such request. TestCallerThatLeavesWhileAPermitIsAskedForEndsItsRequest failed before. Found when reading the change.

--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -44,7 +44,8 @@
 func (e *throttledError) Error() string { return "all upstreams are at their rate limits" }
 
 // acquire chooses an upstream for an attempt, and gets a permit if its rate is limited. It
-// fails with the errors of dispatch.Balancer.Acquire or with a *throttledError.
+// fails with the errors of dispatch.Balancer.Acquire, with a *throttledError, or with the cause
+// of the end of ctx.
 func (x *exchange) acquire(ctx context.Context) (*dispatch.Lease, error) {
 	server := x.server
 	service := x.table.Services[x.service]
@@ -69,6 +70,9 @@
 			return lease, nil
 		}
 		server.Balancer.Release(server.Now(), lease, dispatch.Unsent)
+		if ctx.Err() != nil {
+			return nil, context.Cause(ctx)
+		}
 	}
 }
 
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"mulberrydyke/ratelimit"
+	"mulberrydyke/route"
 )
 
 // respondWithLimit returns a handler that sends a complete response which names a rate.
@@ -141,3 +142,27 @@
 		t.Errorf("%d requests were sent to an upstream that had said when to come back, want 1", n)
 	}
 }
+
+// lateDenial denies each permit once the caller has left.
+type lateDenial struct{}
+
+func (lateDenial) AcquirePermit(ctx context.Context, _ *route.Upstream, _ int) bool {
+	<-ctx.Done()
+	return false
+}
+
+// TestCallerThatLeavesWhileAPermitIsAskedForEndsItsRequest guards against a host that goes
+// on asking for a permit, without a pause, after the caller has left.
+func TestCallerThatLeavesWhileAPermitIsAskedForEndsItsRequest(t *testing.T) {
+	f := newFixture(t, newStub(t, "u1", respondWithLimit("0.5")))
+	f.get("/status/")
+	f.server.Permits = lateDenial{}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	f.do(ctx, "GET", "/export/", "")
+	for end := time.Now().Add(time.Second); f.server.InFlight() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the request is still in progress a second after its caller left")
+		}
+	}
+}
