Count crashes from when they were first noticed

Requests that run on the same upstream may notice its crash one after the other. Crashes had a time for each trait, so two of them could look far enough apart for a part that all prompts share, but not for the part that was the cause: then all prompts were refused for a minute. TestPartThatAllPromptsShareIsNotBlamedForLateNews failed before. Now a crash counts for all traits from when any request noticed it.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -22,9 +22,10 @@
 // fewer requests.
 func attribute(now time.Time, suspects map[Key]*suspect) attribution {
 	out := attribution{causes: map[Key]bool{}}
+	times := crashTimes(suspects)
 	var keys []Key
 	for k, s := range suspects {
-		at, enough := s.settledAt()
+		at, enough := s.settledAt(times)
 		switch {
 		case !enough:
 		case !now.Before(at):
@@ -51,6 +52,20 @@
 	return out
 }
 
+// crashTimes returns when each crash was first noticed. Requests on the same upstream may
+// notice its crash one after the other.
+func crashTimes(suspects map[Key]*suspect) map[CrashID]time.Time {
+	out := map[CrashID]time.Time{}
+	for _, s := range suspects {
+		for _, c := range s.crashes {
+			if at, ok := out[c.id]; !ok || c.at.Before(at) {
+				out[c.id] = c.at
+			}
+		}
+	}
+	return out
+}
+
 // countUnexplained returns how many crashes of a suspect have no other cause.
 func countUnexplained(s *suspect, explained map[CrashID]bool) int {
 	n := 0
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -78,16 +78,19 @@
 	return usedPartGap
 }
 
-// settledAt returns from when the suspect may be the cause of its crashes, or false if
-// there are too few.
-func (s *suspect) settledAt() (time.Time, bool) {
+// settledAt returns from when the suspect may be the cause of its crashes, which were first
+// noticed at the given times, or false if there are too few.
+func (s *suspect) settledAt(crashTimes map[CrashID]time.Time) (time.Time, bool) {
+	if len(s.crashes) < s.crashLimit() {
+		return time.Time{}, false
+	}
 	counted := 0
 	var last time.Time
-	for _, c := range s.crashes {
-		if counted > 0 && c.at.Sub(last) < s.gap() {
+	for _, at := range s.sortedTimes(crashTimes) {
+		if counted > 0 && at.Sub(last) < s.gap() {
 			continue
 		}
-		counted, last = counted+1, c.at
+		counted, last = counted+1, at
 		if counted < s.crashLimit() {
 			continue
 		}
@@ -99,6 +102,16 @@
 	return time.Time{}, false
 }
 
+// sortedTimes returns when the crashes of the suspect were first noticed, in order.
+func (s *suspect) sortedTimes(crashTimes map[CrashID]time.Time) []time.Time {
+	out := make([]time.Time, 0, len(s.crashes))
+	for _, c := range s.crashes {
+		out = append(out, crashTimes[c.id])
+	}
+	slices.SortFunc(out, time.Time.Compare)
+	return out
+}
+
 // quarantineEnd returns when the first host may try a request again. Content that goes on
 // crashing upstreams is tried ever more seldom. Parts are not: they keep out many
 // requests, which can be served again once the upstreams are mended.
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -174,3 +174,32 @@
 		}
 	}
 }
+
+// TestPartThatAllPromptsShareIsNotBlamedForLateNews guards against hosts that refuse all
+// prompts because requests that only ran beside the cause lost their connections a little
+// later, so that the crashes look further apart for the part that they share.
+func TestPartThatAllPromptsShareIsNotBlamedForLateNews(t *testing.T) {
+	table := NewTable("a")
+	rules, poison := Trait{Key: 1, Depth: 1}, Trait{Key: 2, Depth: 2}
+	crashes := []struct {
+		at     time.Duration
+		id     plan.UpstreamID
+		traits []Trait
+	}{
+		{0, "u1", []Trait{rules, poison}},
+		{200 * time.Millisecond, "u2", []Trait{rules, poison}},
+		{320 * time.Millisecond, "u3", []Trait{poison}},
+		{410 * time.Millisecond, "u3", []Trait{rules}},
+	}
+	for _, c := range crashes {
+		table.RecordCrash(start.Add(c.at), c.traits, upstream(c.id))
+	}
+	if left := table.QuarantineLeft(start.Add(time.Second), []Trait{rules}); left > 0 {
+		t.Errorf("all prompts are refused for %v", left)
+	}
+	table.RecordCrash(start.Add(2*time.Second), []Trait{rules, poison}, upstream("u4"))
+	now := start.Add(3 * time.Second)
+	if table.QuarantineLeft(now, []Trait{poison}) == 0 || table.QuarantineLeft(now, []Trait{rules}) > 0 {
+		t.Error("the part that crashes upstreams is not refused, or all prompts are")
+	}
+}
