--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,8 @@
 // in addition to the seeds that the flags select.
 var regressionSeeds = map[uint64]string{
 	1030: "a host was paused while the system still loaded its program, and got SIGHUP then, which no program can handle at that time; the test now sends SIGHUP only after the first log line",
+	7107: "streams had no bodies, so that sound ones had the same content as poisoned ones that crashed two upstreams; streams now carry their prompts as bodies",
+	7137: "the same",
 }
 
 // The range of the second octet of loopback addresses. The run of each seed uses its
