Play simulated fleets of one test in parallel

The race detector's run of package gossip took over nine minutes, one fleet after the other on one core. The fleets are independent and in virtual time. No check changes.

--- a/gossip/crashcontent_test.go
+++ b/gossip/crashcontent_test.go
@@ -23,6 +23,7 @@
 	for _, size := range sizes {
 		for _, loss := range []float64{0, 0.05, 0.3} {
 			t.Run(fmt.Sprintf("%d hosts, %v lost", size.domains*size.hostsPerDomain, loss), func(t *testing.T) {
+				t.Parallel()
 				d := newCrashDay(t, size.domains, size.hostsPerDomain, size.engines)
 				d.loss, d.crashesUntilKnown = loss, 3
 				soundPerSecond, deadlyPerStep := 4*float64(size.engines), 2*simStep.Seconds()
--- a/gossip/crashpart_test.go
+++ b/gossip/crashpart_test.go
@@ -131,6 +131,7 @@
 func TestPartThatCrashesEnginesIsRefusedEverywhere(t *testing.T) {
 	for _, size := range []struct{ domains, hostsPerDomain, engines int }{{3, 2, 9}, {3, 3, 9}, {5, 10, 45}} {
 		t.Run(fmt.Sprintf("%d hosts", size.domains*size.hostsPerDomain), func(t *testing.T) {
+			t.Parallel()
 			d := newCrashDay(t, size.domains, size.hostsPerDomain, size.engines)
 			soundPerSecond := 4 * float64(size.engines)
 			d.run(4*time.Second, func() { d.step(soundPerSecond, 0) })
@@ -156,6 +157,7 @@
 	for _, spread := range []time.Duration{0, time.Second} {
 		for _, before := range []time.Duration{400 * time.Millisecond, 5 * time.Second} {
 			t.Run(fmt.Sprintf("within %v after %v", spread, before), func(t *testing.T) {
+				t.Parallel()
 				d := newCrashDay(t, 3, 3, 9)
 				d.run(3*time.Second, nil)
 				d.run(before, func() { d.step(200, 0) })
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -215,6 +215,7 @@
 // may be larger than a frame and one in fifty is lost. Few hosts may read the
 // platform's store, also while all of them start.
 func TestLargeFleetKnowsItsLoad(t *testing.T) {
+	t.Parallel()
 	const domains, hostsPerDomain = 5, 59
 	f := newSimFleet(t, domains, hostsPerDomain, 268, 0.02)
 	mostReaders := 0
@@ -242,6 +243,7 @@
 // speak for it and read the store for it. Others must take over within 5 s, and the
 // hosts must not find any live host dead.
 func TestDeadHostsAreReplaced(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(t, 3, 60, 60, 0.02)
 	f.run(4*time.Second, nil)
 	f.hosts[0].down, f.hosts[1].down = true, true
@@ -269,6 +271,7 @@
 // go on to know each other's load and to read the store, if that is in reach, and must
 // find the others again after the cut.
 func TestCutDomainAgreesWithItself(t *testing.T) {
+	t.Parallel()
 	f := newSimFleet(t, 3, 40, 60, 0)
 	f.run(4*time.Second, nil)
 	for _, h := range f.hosts {
@@ -301,6 +304,7 @@
 // TestTrafficPerHostIsBounded compares fleets of 100 and 300 hosts: what hosts send on
 // average may grow by half at the most, and has to stay within maxControlTraffic.
 func TestTrafficPerHostIsBounded(t *testing.T) {
+	t.Parallel()
 	traffic := func(hostsPerDomain int) (mean, most int) {
 		f := newSimFleet(t, 5, hostsPerDomain, 268, 0)
 		f.run(4*time.Second, nil)
--- a/gossip/ratelimit_faults_test.go
+++ b/gossip/ratelimit_faults_test.go
@@ -103,6 +103,7 @@
 		for _, size := range limitFleets() {
 			for _, rate := range limitRates {
 				t.Run(fmt.Sprintf("%s, %d hosts, rate %v", c.name, size.domains*size.hostsPerDomain, rate), func(t *testing.T) {
+					t.Parallel()
 					d := newLimitDay(t, size.domains, size.hostsPerDomain, c.loss, rate)
 					d.run(5*time.Second, d.step)
 					from := d.now
@@ -129,6 +130,7 @@
 func TestRateThatChangesHoldsAtOnce(t *testing.T) {
 	for _, size := range limitFleets() {
 		t.Run(fmt.Sprintf("%d hosts", size.domains*size.hostsPerDomain), func(t *testing.T) {
+			t.Parallel()
 			d := newLimitDay(t, size.domains, size.hostsPerDomain, 0.05, 20)
 			d.answerDelay = func() time.Duration {
 				if d.random.IntN(10) > 0 {
@@ -189,6 +191,7 @@
 	for _, size := range limitFleets() {
 		for _, rate := range limitRates {
 			t.Run(fmt.Sprintf("%d hosts, rate %v", size.domains*size.hostsPerDomain, rate), func(t *testing.T) {
+				t.Parallel()
 				d := newLimitDay(t, size.domains, size.hostsPerDomain, 0.05, rate)
 				d.run(8*time.Second, d.step)
 				d.checkEnd(t)
--- a/gossip/ratelimit_test.go
+++ b/gossip/ratelimit_test.go
@@ -170,6 +170,7 @@
 	for _, size := range limitFleets() {
 		for _, rate := range limitRates {
 			t.Run(fmt.Sprintf("%d hosts, rate %v", size.domains*size.hostsPerDomain, rate), func(t *testing.T) {
+				t.Parallel()
 				d := newLimitDay(t, size.domains, size.hostsPerDomain, 0.01, rate)
 				d.run(5*time.Second, d.step)
 				from, sent := d.now, d.sentBytes()
--- a/gossip/suspects_test.go
+++ b/gossip/suspects_test.go
@@ -66,6 +66,7 @@
 func TestNewCrashesAreToldBesideManyOlderOnes(t *testing.T) {
 	for _, size := range []struct{ domains, hostsPerDomain, requests int }{{3, 2, 66}, {3, 3, 72}, {5, 60, 90}} {
 		t.Run(fmt.Sprintf("%d hosts", size.domains*size.hostsPerDomain), func(t *testing.T) {
+			t.Parallel()
 			f := newSimFleet(t, size.domains, size.hostsPerDomain, 60, 0.05)
 			f.run(3*time.Second, nil)
 			f.crashManyBystanders(size.requests)
