Decode and log what answers say of draining upstreams

The logs could not tell which, as no code decoded the header. It is decoded now into a type that checks itself (only "1" says that the upstream is draining; other values say nothing and are logged), and logged with the request and whether the answer was the upstream's own. No decision changes.

Timeline and hypotheses: docs/incidents/drain1.md.

--- a/call/call.go
+++ b/call/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/ratelimit"
 )
@@ -123,6 +124,8 @@
 	// KeepAliveTimeout is how long the upstream keeps the connection open while it
 	// is idle. Zero means that the upstream does not say.
 	KeepAliveTimeout time.Duration
+	// Drain is what the upstream says of whether it is draining.
+	Drain drain.Announcement
 	// RateLimit is what the upstream says of the rate at which it takes requests.
 	RateLimit ratelimit.Announcement
 	// RetryAfter is the time after which the upstream takes requests again, if it has not
