Share what decides which changes hosts tell next

The table of rate limits kept its own count of sends and its own cursor for reminders. Package broadcast holds both now, for any kind of key, and the key of an upstream's process moves to package route: what else upstreams say of themselves will be told the same way. No decision changes.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -237,7 +237,7 @@
 type ownPermits struct{ *ratelimit.Limiter }
 
 func (p ownPermits) AcquirePermit(_ context.Context, u *route.Upstream, urgency int) bool {
-	now, key := time.Now(), ratelimit.KeyOf(u)
+	now, key := time.Now(), u.ProcessKey()
 	rate := p.Rate(now, key)
 	holder, ok := p.Asker.Begin(now, key, rate, urgency)
 	if rate == ratelimit.NoLimit || !ok {
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -128,7 +128,7 @@
 	if head.Misdirected || head.ID != x.request.ID || !head.Signed && !head.NotExecuted {
 		return
 	}
-	if head.RetryAfter > 0 && x.server.RateLimits.RecordPause(x.server.Now(), ratelimit.KeyOf(lease.Upstream), head.RetryAfter) {
+	if head.RetryAfter > 0 && x.server.RateLimits.RecordPause(x.server.Now(), lease.Upstream.ProcessKey(), head.RetryAfter) {
 		x.server.Log.Info("upstream pauses", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID), "for", head.RetryAfter)
 	}
 	said := head.RateLimit
@@ -141,7 +141,7 @@
 	}
 	now := x.server.Now()
 	before, after := x.server.RateLimits.Record(now, ratelimit.Statement{
-		Key: ratelimit.KeyOf(lease.Upstream), Rate: said.Rate, SentAt: x.attemptSentAt, ReceivedAt: now,
+		Key: lease.Upstream.ProcessKey(), Rate: said.Rate, SentAt: x.attemptSentAt, ReceivedAt: now,
 	})
 	if before != after {
 		x.server.Log.Info("upstream changed its rate limit", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID),
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -9,7 +9,6 @@
 	"testing"
 	"time"
 
-	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 )
 
@@ -120,7 +119,7 @@
 	}
 	restarted := *f.upstreams.ByID["u1"]
 	restarted.StartedAt = time.Now()
-	if rate := f.server.RateLimits.Rate(time.Now(), ratelimit.KeyOf(&restarted)); rate != 0 {
+	if rate := f.server.RateLimits.Rate(time.Now(), restarted.ProcessKey()); rate != 0 {
 		t.Errorf("the process that has started anew has the rate %v", rate)
 	}
 }
--- a/gossip/permits.go
+++ b/gossip/permits.go
@@ -29,7 +29,7 @@
 // rate is limited. It asks the hosts that give out the parts of the rate until one grants a
 // permit, and reports whether one did.
 func (n *Node) AcquirePermit(ctx context.Context, u *route.Upstream, urgency int) bool {
-	key := ratelimit.KeyOf(u)
+	key := u.ProcessKey()
 	for ctx.Err() == nil {
 		now := n.Now()
 		rate := n.Limiter.Rate(now, key)
--- a/gossip/ratelimit_faults_test.go
+++ b/gossip/ratelimit_faults_test.go
@@ -178,7 +178,7 @@
 func (d *limitDay) limitedHosts() int {
 	n := 0
 	for _, h := range d.hosts {
-		if !h.down && h.Limiter.Rate(d.now, ratelimit.KeyOf(d.upstream)) != ratelimit.NoLimit {
+		if !h.down && h.Limiter.Rate(d.now, d.upstream.ProcessKey()) != ratelimit.NoLimit {
 			n++
 		}
 	}
--- a/gossip/ratelimit_test.go
+++ b/gossip/ratelimit_test.go
@@ -73,7 +73,7 @@
 		if d.now.Before(a.at) {
 			return false
 		}
-		a.host.Limiter.Record(d.now, ratelimit.Statement{Key: ratelimit.KeyOf(d.upstream), Rate: a.rate, SentAt: a.sentAt, ReceivedAt: d.now})
+		a.host.Limiter.Record(d.now, ratelimit.Statement{Key: d.upstream.ProcessKey(), Rate: a.rate, SentAt: a.sentAt, ReceivedAt: d.now})
 		return true
 	})
 	for n := d.demand * simStep.Seconds(); n > 0; n-- {
--- a/ratelimit/asker.go
+++ b/ratelimit/asker.go
@@ -4,6 +4,8 @@
 	"net/netip"
 	"sync"
 	"time"
+
+	"mulberrydyke/route"
 )
 
 const (
@@ -29,7 +31,7 @@
 }
 
 type answerKey struct {
-	key    Key
+	key    route.ProcessKey
 	holder netip.Addr
 }
 
@@ -54,7 +56,7 @@
 
 // AvailableAt returns when a permit may be had at the earliest for a request of the given
 // urgency to an upstream. It returns false if no holder is known.
-func (s *Asker) AvailableAt(now time.Time, k Key, rate Rate, urgency int) (time.Time, bool) {
+func (s *Asker) AvailableAt(now time.Time, k route.ProcessKey, rate Rate, urgency int) (time.Time, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, at := s.next(now, k, rate, urgency)
@@ -63,7 +65,7 @@
 
 // Begin returns the holder to ask for a permit now, and records that it is asked. It
 // returns false if none may be asked.
-func (s *Asker) Begin(now time.Time, k Key, rate Rate, urgency int) (netip.Addr, bool) {
+func (s *Asker) Begin(now time.Time, k route.ProcessKey, rate Rate, urgency int) (netip.Addr, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holder, at := s.next(now, k, rate, urgency)
@@ -76,7 +78,7 @@
 
 // next returns the holder that may be asked first, and when. The time is zero if there is
 // none. s.mu must be held.
-func (s *Asker) next(now time.Time, k Key, rate Rate, urgency int) (netip.Addr, time.Time) {
+func (s *Asker) next(now time.Time, k route.ProcessKey, rate Rate, urgency int) (netip.Addr, time.Time) {
 	var first netip.Addr
 	var earliest time.Time
 	for _, holder := range s.holders.Of(k) {
@@ -91,7 +93,7 @@
 
 // redirected returns the host that a host named in its place, or the host itself. s.mu
 // must be held.
-func (s *Asker) redirected(now time.Time, k Key, holder netip.Addr) netip.Addr {
+func (s *Asker) redirected(now time.Time, k route.ProcessKey, holder netip.Addr) netip.Addr {
 	a := s.answers[answerKey{k, holder}]
 	if a != nil && a.instead.IsValid() && now.Before(a.redirectUntil) {
 		return a.instead
@@ -101,7 +103,7 @@
 
 // availableAt returns when a holder may be asked, which is now if nothing speaks against it.
 // s.mu must be held.
-func (s *Asker) availableAt(now time.Time, k Key, holder netip.Addr, rate Rate, urgency int) time.Time {
+func (s *Asker) availableAt(now time.Time, k route.ProcessKey, holder netip.Addr, rate Rate, urgency int) time.Time {
 	at := now
 	if until := s.silent[holder]; until.After(at) {
 		at = until
@@ -121,7 +123,7 @@
 
 // answer returns what is remembered of a holder, for an upstream with a rate. s.mu must be
 // held.
-func (s *Asker) answer(now time.Time, k Key, holder netip.Addr, rate Rate) *answer {
+func (s *Asker) answer(now time.Time, k route.ProcessKey, holder netip.Addr, rate Rate) *answer {
 	a := s.answers[answerKey{k, holder}]
 	if a == nil {
 		s.expire(now)
@@ -137,7 +139,7 @@
 
 // Decided records the answer of a holder. What is denied to a request is denied to less
 // urgent ones too.
-func (s *Asker) Decided(now time.Time, k Key, holder netip.Addr, rate Rate, urgency int, d Decision) {
+func (s *Asker) Decided(now time.Time, k route.ProcessKey, holder netip.Addr, rate Rate, urgency int, d Decision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.answer(now, k, holder, rate)
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -47,7 +47,7 @@
 type Ask struct {
 	_      struct{} `cbor:",toarray"`
 	Number uint64
-	Key    Key
+	Key    route.ProcessKey
 	// Rate is the upstream's rate as far as the asker knows.
 	Rate Rate
 	// Urgency is the urgency of the request, from 0 (most urgent) to 9.
@@ -80,12 +80,12 @@
 	// readyAt is when the host may give out its first permit.
 	readyAt time.Time
 	mu      sync.Mutex
-	buckets map[Key]*partBucket
+	buckets map[route.ProcessKey]*partBucket
 }
 
 // NewGrantor returns the Grantor of a host that has just started.
 func NewGrantor(now time.Time, holders *Holders) *Grantor {
-	return &Grantor{holders: holders, readyAt: now.Add(settleTime), buckets: map[Key]*partBucket{}}
+	return &Grantor{holders: holders, readyAt: now.Add(settleTime), buckets: map[route.ProcessKey]*partBucket{}}
 }
 
 // Decide answers an ask for a permit to send a request to an upstream with the given rate.
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -37,7 +37,7 @@
 	// leaving is set while this host stops.
 	leaving bool
 	// found holds the results of find since the hosts last changed.
-	found map[Key][]holder
+	found map[route.ProcessKey][]holder
 }
 
 // holder is the host that gives out one part.
@@ -50,7 +50,7 @@
 // NewHolders returns the Holders of a host in a failure domain. The list holds all domains
 // that the settings name.
 func NewHolders(self netip.Addr, domain plan.DomainID, domains []plan.DomainID) *Holders {
-	h := &Holders{self: self, domain: domain, domains: slices.Clone(domains), hosts: map[plan.DomainID]map[netip.Addr]time.Time{}, found: map[Key][]holder{}}
+	h := &Holders{self: self, domain: domain, domains: slices.Clone(domains), hosts: map[plan.DomainID]map[netip.Addr]time.Time{}, found: map[route.ProcessKey][]holder{}}
 	if !slices.Contains(domains, domain) {
 		h.domains = append(h.domains, domain)
 	}
@@ -74,7 +74,7 @@
 			}
 		}
 	}
-	h.found = map[Key][]holder{}
+	h.found = map[route.ProcessKey][]holder{}
 }
 
 // see records that a host was seen. h.mu must be held.
@@ -93,7 +93,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.leaving = true
-	h.found = map[Key][]holder{}
+	h.found = map[route.ProcessKey][]holder{}
 }
 
 // Parts returns the number of parts that each rate is divided into.
@@ -106,7 +106,7 @@
 func (h *Holders) parts() int { return min(maxParts, len(h.domains)) }
 
 // find returns the holders of an upstream's rate. h.mu must be held.
-func (h *Holders) find(k Key) []holder {
+func (h *Holders) find(k route.ProcessKey) []holder {
 	if found, ok := h.found[k]; ok {
 		return found
 	}
@@ -138,7 +138,7 @@
 
 // Of returns the hosts to ask for a permit: the one in this host's failure domain first, the
 // others in an order that differs between hosts.
-func (h *Holders) Of(k Key) []netip.Addr {
+func (h *Holders) Of(k route.ProcessKey) []netip.Addr {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var own, others []netip.Addr
@@ -159,7 +159,7 @@
 
 // InOwnDomain returns the holder of the part that falls to this host's failure domain, and
 // the number of the part, counted from zero. The holder is not valid if none does.
-func (h *Holders) InOwnDomain(k Key) (netip.Addr, int) {
+func (h *Holders) InOwnDomain(k route.ProcessKey) (netip.Addr, int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i, x := range h.find(k) {
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -27,7 +27,7 @@
 // earliest, as far as this host knows. It returns false if no host is known that could give
 // a permit.
 func (l *Limiter) AvailableAt(now time.Time, u *route.Upstream, urgency int) (time.Time, bool) {
-	k := KeyOf(u)
+	k := u.ProcessKey()
 	if until := l.PausedUntil(k); until.After(now) {
 		return until, true
 	}
--- a/ratelimit/pause.go
+++ b/ratelimit/pause.go
@@ -1,6 +1,10 @@
 package ratelimit
 
-import "time"
+import (
+	"time"
+
+	"mulberrydyke/route"
+)
 
 // maxPause bounds the time for which an upstream gets no requests because it said when to
 // come back.
@@ -11,7 +15,7 @@
 
 // RecordPause records that an upstream takes no requests for a time, maxPause at the most.
 // It reports whether that is new.
-func (t *Table) RecordPause(now time.Time, k Key, pause time.Duration) bool {
+func (t *Table) RecordPause(now time.Time, k route.ProcessKey, pause time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.pause(now, k, now.Add(min(pause, maxPause)))
@@ -19,7 +23,7 @@
 
 // pause records until when an upstream takes no requests, and reports whether that is new.
 // t.mu must be held.
-func (t *Table) pause(now time.Time, k Key, until time.Time) bool {
+func (t *Table) pause(now time.Time, k route.ProcessKey, until time.Time) bool {
 	e := t.entries[k]
 	if !until.After(now) || e != nil && until.Sub(e.pausedUntil) < minPauseChange {
 		return false
@@ -28,13 +32,13 @@
 		e = t.insert(now, Statement{Key: k, Rate: NoLimit, SentAt: now, ReceivedAt: now})
 	}
 	e.pausedUntil = until
-	t.noteChange(e)
+	t.queue.Put(k)
 	return true
 }
 
 // PausedUntil returns when an upstream takes requests again. It is not after now if it takes
 // them now.
-func (t *Table) PausedUntil(k Key) time.Time {
+func (t *Table) PausedUntil(k route.ProcessKey) time.Time {
 	if t.Empty() {
 		return time.Time{}
 	}
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -9,6 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mulberrydyke/plan"
+	"mulberrydyke/route"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -53,7 +54,7 @@
 // host that heard them does, and that it passes on what is new to it.
 func TestToldLimitsHoldAtOtherHosts(t *testing.T) {
 	a, b := NewTable(), NewTable()
-	for i := range Key(100) {
+	for i := range route.ProcessKey(100) {
 		a.Record(at(100), Statement{Key: i + 1, Rate: 2, SentAt: at(0), ReceivedAt: at(100)})
 	}
 	for _, batch := range a.Unsent(at(120)) {
@@ -81,7 +82,7 @@
 	table := NewTable()
 	for i := range maxLimits + 10 {
 		now := at(i)
-		table.Record(now, Statement{Key: Key(i + 1), Rate: 1, SentAt: now, ReceivedAt: now})
+		table.Record(now, Statement{Key: route.ProcessKey(i + 1), Rate: 1, SentAt: now, ReceivedAt: now})
 	}
 	if n := table.Count(at(maxLimits)); n != maxLimits {
 		t.Errorf("%d limits, want %d", n, maxLimits)
@@ -141,7 +142,7 @@
 		if n := h.Parts(); n != maxParts {
 			t.Errorf("%d parts, want %d", n, maxParts)
 		}
-		for k := range Key(20) {
+		for k := range route.ProcessKey(20) {
 			if n := len(h.Of(k + 1)); n > maxParts {
 				t.Errorf("%d holders", n)
 			}
@@ -170,7 +171,7 @@
 			}
 			others[name] = append(append([]netip.Addr{}, hosts[name][:i]...), hosts[name][i+1:]...)
 			h.SetHosts(start, others, nil)
-			for k := range Key(keys) {
+			for k := range route.ProcessKey(keys) {
 				for _, holder := range h.Of(k + 1) {
 					asked[fmt.Sprint(k, holder)]++
 				}
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"mulberrydyke/broadcast"
 	"mulberrydyke/route"
 )
 
@@ -18,19 +19,10 @@
 	maxLimits = 4096
 )
 
-// Key identifies one process of an upstream. It is a hash of the upstream's ID and start
-// time, since a limit ends with the process that announced it.
-type Key uint64
-
-// KeyOf returns the key of an upstream's present process. It is never zero.
-func KeyOf(u *route.Upstream) Key {
-	return Key(route.Hash("limit", string(u.ID), u.StartedAt.UTC().Format(time.RFC3339Nano)) | 1)
-}
-
 // Statement is what an upstream said of its limit in one response. It said so at some time
 // from SentAt to ReceivedAt.
 type Statement struct {
-	Key  Key
+	Key  route.ProcessKey
 	Rate Rate
 	// SentAt is when the request was sent, and ReceivedAt when the head of its response
 	// had arrived.
@@ -68,10 +60,9 @@
 	// size is the number of entries, which callers can read without the lock.
 	size    atomic.Int64
 	mu      sync.Mutex
-	entries map[Key]*entry
-	// cursor is the position of the last call of Reminders.
-	cursor  int
-	changed chan struct{}
+	entries map[route.ProcessKey]*entry
+	// queue holds the keys of entries, to be told other hosts.
+	queue *broadcast.Queue[route.ProcessKey]
 }
 
 // entry is what is known of the limit of one upstream.
@@ -79,12 +70,12 @@
 	statement Statement
 	// pausedUntil is when the upstream takes requests again, after it said so to one host.
 	pausedUntil time.Time
-	// sent counts the messages that carried the present state to other hosts.
-	sent int
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: map[Key]*entry{}, changed: make(chan struct{}, 1)} }
+func NewTable() *Table {
+	return &Table{entries: map[route.ProcessKey]*entry{}, queue: broadcast.NewQueue[route.ProcessKey]()}
+}
 
 // Empty reports whether no upstream has announced a limit lately.
 func (t *Table) Empty() bool { return t.size.Load() == 0 }
@@ -119,7 +110,7 @@
 		e.statement = s
 	}
 	if e.statement.Rate != before {
-		t.noteChange(e)
+		t.queue.Put(s.Key)
 	}
 	return before, e.statement.Rate
 }
@@ -135,7 +126,7 @@
 	e := &entry{statement: s}
 	t.entries[s.Key] = e
 	t.size.Store(int64(len(t.entries)))
-	t.noteChange(e)
+	t.queue.Put(s.Key)
 	return e
 }
 
@@ -151,7 +142,7 @@
 // removeOldest removes the entry that no answer has confirmed for longest. t.mu must be
 // held.
 func (t *Table) removeOldest() {
-	var oldest Key
+	var oldest route.ProcessKey
 	for k, e := range t.entries {
 		if o := t.entries[oldest]; o == nil || e.statement.ReceivedAt.Before(o.statement.ReceivedAt) {
 			oldest = k
@@ -161,13 +152,14 @@
 }
 
 // remove removes an entry. t.mu must be held.
-func (t *Table) remove(k Key) {
+func (t *Table) remove(k route.ProcessKey) {
 	delete(t.entries, k)
+	t.queue.Remove(k)
 	t.size.Store(int64(len(t.entries)))
 }
 
 // Rate returns the limit of an upstream, or NoLimit.
-func (t *Table) Rate(now time.Time, k Key) Rate {
+func (t *Table) Rate(now time.Time, k route.ProcessKey) Rate {
 	if t.Empty() {
 		return NoLimit
 	}
--- a/ratelimit/updates.go
+++ b/ratelimit/updates.go
@@ -1,15 +1,13 @@
 package ratelimit
 
 import (
-	"cmp"
 	"slices"
 	"time"
+
+	"mulberrydyke/route"
 )
 
 const (
-	// maxSends is how often a host sends each change, so that a few lost messages don't
-	// matter.
-	maxSends = 5
 	// maxBatch bounds the limits in one message, so that it fits into one frame of most
 	// networks.
 	maxBatch = 32
@@ -22,7 +20,7 @@
 // Update is what a host tells others of the limit of an upstream.
 type Update struct {
 	_   struct{} `cbor:",toarray"`
-	Key Key
+	Key route.ProcessKey
 	// Rate is NoLimit if the upstream has ended its limit.
 	Rate Rate
 	// SentAgeMillis and ReceivedAgeMillis are the ages of the times of the Statement.
@@ -62,16 +60,7 @@
 }
 
 // Changed returns a channel that signals that there are updates that were not sent yet.
-func (t *Table) Changed() <-chan struct{} { return t.changed }
-
-// noteChange marks an entry whose rate has changed to be sent. t.mu must be held.
-func (t *Table) noteChange(e *entry) {
-	e.sent = 0
-	select {
-	case t.changed <- struct{}{}:
-	default:
-	}
-}
+func (t *Table) Changed() <-chan struct{} { return t.queue.Changed() }
 
 // Merge adds what another host tells. It reports whether any rate or pause changed.
 func (t *Table) Merge(now time.Time, list []Update) bool {
@@ -92,41 +81,22 @@
 }
 
 // Unsent returns changes that were not sent yet. Each batch fits into one message.
-func (t *Table) Unsent(now time.Time) [][]Update {
-	return t.take(now, func(e *entry) bool { return e.sent == 0 })
-}
+func (t *Table) Unsent(now time.Time) [][]Update { return t.updates(now, t.queue.Unsent) }
 
-// Next returns the changes to send next: those that were sent fewer than maxSends times,
-// the least sent first. Each batch fits into one message.
-func (t *Table) Next(now time.Time) [][]Update {
-	return t.take(now, func(e *entry) bool { return e.sent < maxSends })
-}
+// Next returns the changes to send next. Each batch fits into one message.
+func (t *Table) Next(now time.Time) [][]Update { return t.updates(now, t.queue.Next) }
 
-// take returns the updates on matching entries, and counts that they are sent.
-func (t *Table) take(now time.Time, match func(*entry) bool) [][]Update {
+// updates returns the updates on the keys that next returns.
+func (t *Table) updates(now time.Time, next func() []route.ProcessKey) [][]Update {
 	if t.Empty() {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	var matching []*entry
-	for _, e := range t.entries {
-		if match(e) {
-			matching = append(matching, e)
-		}
-	}
-	slices.SortFunc(matching, func(a, b *entry) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.statement.Key, b.statement.Key))
-	})
 	var out [][]Update
-	for batch := range slices.Chunk(matching, maxBatch) {
-		var list []Update
-		for _, e := range batch {
-			e.sent++
-			list = append(list, newUpdate(now, e))
-		}
-		out = append(out, list)
+	for batch := range slices.Chunk(next(), maxBatch) {
+		out = append(out, t.batch(now, batch))
 	}
 	return out
 }
@@ -140,15 +110,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
-	keys := make([]Key, 0, len(t.entries))
-	for k := range t.entries {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
+	return t.batch(now, t.queue.Reminders(maxBatch))
+}
+
+// batch returns the updates on some keys. t.mu must be held.
+func (t *Table) batch(now time.Time, keys []route.ProcessKey) []Update {
 	var out []Update
-	for range min(len(keys), maxBatch) {
-		t.cursor = (t.cursor + 1) % len(keys)
-		out = append(out, newUpdate(now, t.entries[keys[t.cursor]]))
+	for _, k := range keys {
+		out = append(out, newUpdate(now, t.entries[k]))
 	}
 	return out
 }
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -33,6 +33,15 @@
 	Revision uint64
 }
 
+// ProcessKey identifies one run of an upstream's process among those of all upstreams. It is a
+// hash of the upstream's ID and start time, and never zero.
+type ProcessKey uint64
+
+// ProcessKey returns the key of the process that the entry describes.
+func (u *Upstream) ProcessKey() ProcessKey {
+	return ProcessKey(Hash("process", string(u.ID), u.StartedAt.UTC().Format(time.RFC3339Nano)) | 1)
+}
+
 // Upstreams is the list of all upstreams at one revision.
 type Upstreams struct {
 	// Revision is the platform's revision of the list.
