Send nothing to upstreams that say they are draining

Cause: nobody read what answers say of that; only the store's entry counted.

A host now records it from the head of any answer to its own request, passed on or not: a stream, a refusal, a failure, an answer that is retried. It holds for the process that said so, until that has not been listed for a minute; another process of the same upstream starts clean. The upstream is put in the state draining in the list that everything goes by, so that the choice, the partition of engines, retries, resumed streams and the last check before a send agree; idle connections to it are closed, what runs goes on.

Hosts tell each other: at once, five times, then in turn twice a second to two hosts of the group each.

The test of unknown kinds of message names the kind after the last one, as before; there is one kind more.

--- a/broadcast/queue.go
+++ b/broadcast/queue.go
@@ -38,6 +38,10 @@
 	}
 }
 
+// PutQuietly adds a key without a change to send, since other hosts tell of it. It counts only
+// among the reminders.
+func (q *Queue[K]) PutQuietly(k K) { q.sent[k] = maxSends }
+
 // Remove removes a key, of which nothing is told any more.
 func (q *Queue[K]) Remove(k K) { delete(q.sent, k) }
 
--- a/broadcast/queue_test.go
+++ b/broadcast/queue_test.go
@@ -40,6 +40,10 @@
 		q.Put(k)
 	}
 	q.Remove(4)
+	q.PutQuietly(3)
+	if diff := cmp.Diff([]int{0, 1, 2}, q.Unsent()); diff != "" {
+		t.Error(diff)
+	}
 	seen := map[int]int{}
 	for range 4 {
 		for _, k := range q.Reminders(2) {
--- a/call/call.go
+++ b/call/call.go
@@ -117,6 +117,8 @@
 	Signed bool
 	// NotExecuted is set if the upstream did not run the request and never will.
 	NotExecuted bool
+	// Instance is the upstream that sent the response, or "" if it names none.
+	Instance plan.UpstreamID
 	// Misdirected is set if another upstream now has the address.
 	Misdirected bool
 	// Close is set if the connection can't be reused.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 
 	"mulberrydyke/clock"
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/gateway"
 	"mulberrydyke/gossip"
 	"mulberrydyke/plan"
@@ -73,12 +74,13 @@
 	retryBudget  *gateway.RetryBudget
 	quarantine   *quarantine.Table
 	rateLimits   *ratelimit.Limiter
+	drains       *drain.Table
 	gateway      *gateway.Server
 	reader       *platform.Reader
 	gossipNode   *gossip.Node
 	metrics      *metrics.Set
 	table        atomic.Pointer[route.Table]
-	upstreams    atomic.Pointer[route.Upstreams]
+	upstreams    upstreamList
 	stopping     atomic.Bool
 	startedAt    time.Time
 	callerServer *http.Server
@@ -93,7 +95,7 @@
 	setRuntimeLimits(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet(), startedAt: time.Now()}
-	h.upstreams.Store(&route.Upstreams{})
+	h.upstreams.init()
 	h.bounds.Store(&s.Bounds)
 	if err := h.build(ctx); err != nil {
 		h.close()
@@ -119,8 +121,10 @@
 	h.retryBudget = gateway.NewRetryBudget(s.Bounds, h.budgetHostCount, h.balancer)
 	h.quarantine = quarantine.NewTable(s.ID)
 	h.rateLimits = ratelimit.NewLimiter(h.startedAt, s.IP, s.Domain, s.Domains)
+	h.drains = drain.NewTable(h.refreshUpstreams)
 	h.gateway = gateway.NewServer(gateway.Options{
-		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine, RateLimits: h.rateLimits, Permits: permits{h},
+		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine,
+		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains,
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	watchWait := time.Duration(watchWaitFactor * float64(s.Bounds.MaxApplyDelay))
@@ -140,7 +144,7 @@
 	s := h.settings
 	node, cleanup, err := gossip.Listen(gossip.Options{
 		Host: s.ID, Domain: s.Domain, Incarnation: rand.Uint64() | 1, IP: s.IP, DatagramPort: s.GossipPort, RPCAddr: s.Peers, Seeds: s.Seeds,
-		Balancer: h.balancer, Quarantine: h.quarantine, Limiter: h.rateLimits, Lists: h, Log: h.log, Now: time.Now,
+		Balancer: h.balancer, Quarantine: h.quarantine, Limiter: h.rateLimits, Drains: h.drains, Lists: h, Log: h.log, Now: time.Now,
 	})
 	if err != nil {
 		return err
@@ -228,6 +232,7 @@
 		return float64(quarantined)
 	})
 	h.metrics.NewGauge("mulberrydyke_rate_limited_upstreams", func() float64 { return float64(h.rateLimits.Count(time.Now())) })
+	h.metrics.NewGauge("mulberrydyke_draining_upstreams_told", func() float64 { return float64(h.drains.Count()) })
 	h.metrics.NewGauge("mulberrydyke_table_version", func() float64 {
 		table, _ := h.Versions()
 		return float64(table)
@@ -254,52 +259,9 @@
 	h.log.Info("table in force", "version", uint64(t.Version), "before", uint64(before), "routes", t.RouteCount(), "age", age)
 }
 
-// UpstreamsUpdated implements platform.Receiver.
-func (h *Host) UpstreamsUpdated(u *route.Upstreams) {
-	before := h.upstreams.Swap(u)
-	h.balancer.SetUpstreams(time.Now(), u)
-	h.connPools.Prune(u)
-	h.logUpstreams(before, u)
-	go h.gossipNode.Broadcast()
-}
-
-// maxLoggedUpstreams is the number of changed upstreams up to which each is logged.
-// At the start all are new.
-const maxLoggedUpstreams = 12
-
-// logUpstreams logs the upstreams that were added, changed or removed: each of them,
-// or their numbers if there are many.
-func (h *Host) logUpstreams(before, after *route.Upstreams) {
-	var listed []*route.Upstream
-	var gone []plan.UpstreamID
-	for id, u := range after.ByID {
-		if old := before.ByID[id]; old == nil || old.State != u.State || old.Address != u.Address || !old.StartedAt.Equal(u.StartedAt) {
-			listed = append(listed, u)
-		}
-	}
-	for id := range before.ByID {
-		if after.ByID[id] == nil {
-			gone = append(gone, id)
-		}
-	}
-	if len(listed)+len(gone) > maxLoggedUpstreams {
-		h.log.Info("upstreams changed", "listed", len(listed), "gone", len(gone), "total", len(after.ByID), "revision", after.Revision)
-		return
-	}
-	for _, u := range listed {
-		h.log.Info("upstream listed", "upstream", string(u.ID), "service", string(u.Service), "leaving", u.State == route.Draining,
-			"address", u.Address, "revision", u.Revision)
-	}
-	for _, id := range gone {
-		h.log.Info("upstream gone", "upstream", string(id), "revision", after.Revision)
-	}
-}
-
 // Synced implements platform.Receiver.
 func (h *Host) Synced() { h.log.Info("platform read") }
 
-func (h *Host) lookupUpstream(id plan.UpstreamID) *route.Upstream { return h.upstreams.Load().ByID[id] }
-
 // Versions implements gossip.Lists.
 func (h *Host) Versions() (plan.Version, uint64) {
 	version := plan.Version(0)
--- /dev/null
+++ b/edge/upstreams.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
+)
+
+// upstreamList holds the upstreams that the platform lists, and those in force.
+type upstreamList struct {
+	// mu orders the changes of inForce.
+	mu sync.Mutex
+	// listed holds the upstreams as the platform lists them.
+	listed atomic.Pointer[route.Upstreams]
+	// inForce holds the same upstreams in the states that hosts go by.
+	inForce atomic.Pointer[route.Upstreams]
+}
+
+func (l *upstreamList) init() {
+	l.listed.Store(&route.Upstreams{})
+	l.inForce.Store(&route.Upstreams{})
+}
+
+func (l *upstreamList) setListed(u *route.Upstreams) { l.listed.Store(u) }
+
+// refresh puts the listed upstreams in force, and calls apply before another change can follow.
+func (l *upstreamList) refresh(draining func(route.ProcessKey) bool, apply func(before, after *route.Upstreams)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	after := l.listed.Load().WithDraining(draining)
+	apply(l.inForce.Swap(after), after)
+}
+
+// UpstreamsUpdated implements platform.Receiver.
+func (h *Host) UpstreamsUpdated(u *route.Upstreams) {
+	h.drains.SetListed(time.Now(), u)
+	h.upstreams.setListed(u)
+	h.refreshUpstreams()
+	go h.gossipNode.Broadcast()
+}
+
+// refreshUpstreams puts the listed upstreams in force. Those that have said that they are
+// draining are in that state, whatever the platform lists.
+func (h *Host) refreshUpstreams() {
+	h.upstreams.refresh(h.drains.Draining, func(before, after *route.Upstreams) {
+		h.balancer.SetUpstreams(time.Now(), after)
+		h.connPools.Prune(after)
+		h.logUpstreams(before, after)
+	})
+}
+
+func (h *Host) lookupUpstream(id plan.UpstreamID) *route.Upstream {
+	return h.upstreams.inForce.Load().ByID[id]
+}
+
+// maxLoggedUpstreams is the number of changed upstreams up to which each is logged.
+// At the start all are new.
+const maxLoggedUpstreams = 12
+
+// logUpstreams logs the upstreams that were added, changed or removed: each of them,
+// or their numbers if there are many.
+func (h *Host) logUpstreams(before, after *route.Upstreams) {
+	var listed []*route.Upstream
+	var gone []plan.UpstreamID
+	for id, u := range after.ByID {
+		if old := before.ByID[id]; old == nil || old.State != u.State || old.Address != u.Address || !old.StartedAt.Equal(u.StartedAt) {
+			listed = append(listed, u)
+		}
+	}
+	for id := range before.ByID {
+		if after.ByID[id] == nil {
+			gone = append(gone, id)
+		}
+	}
+	if len(listed)+len(gone) > maxLoggedUpstreams {
+		h.log.Info("upstreams changed", "listed", len(listed), "gone", len(gone), "total", len(after.ByID), "revision", after.Revision)
+		return
+	}
+	for _, u := range listed {
+		h.log.Info("upstream listed", "upstream", string(u.ID), "service", string(u.Service), "leaving", u.State == route.Draining,
+			"address", u.Address, "revision", u.Revision)
+	}
+	for _, id := range gone {
+		h.log.Info("upstream gone", "upstream", string(id), "revision", after.Revision)
+	}
+}
--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -10,6 +10,7 @@
 
 	"mulberrydyke/dispatch"
 	"mulberrydyke/link"
+	"mulberrydyke/route"
 )
 
 const (
@@ -115,15 +116,24 @@
 	_, _ = x.w.Write(response.body) // a write error means that the caller has disconnected
 }
 
-// releaseConn returns the connection of a complete exchange to its pool. If the
-// service limits its connections, this host keeps only its share of them idle, so
-// that all hosts together stay within the limit.
+// releaseConn returns the connection of a complete exchange to its pool.
 func (x *exchange) releaseConn(upstreamEx *link.Exchange, lease *dispatch.Lease) {
-	server, maxIdle := x.server, link.NoIdleLimit
-	if service := x.table.Services[x.service]; service != nil && service.MaxConnections > 0 {
-		maxIdle = server.Balancer.IdleConnectionLimit(lease.Upstream, service.MaxConnections, server.RetryBudget.hostCount())
+	upstreamEx.Release(x.server.ConnPools.Get(lease.Upstream), x.server.Now(), x.maxIdleConns(lease))
+}
+
+// maxIdleConns returns how many idle connections this host may keep to the upstream of a lease:
+// none if it takes no more requests. If the service limits its connections, this host keeps
+// only its share of them, so that all hosts together stay within the limit.
+func (x *exchange) maxIdleConns(lease *dispatch.Lease) int {
+	server := x.server
+	if u := server.LookupUpstream(lease.Upstream.ID); u == nil || u.State != route.Ready {
+		return 0
+	}
+	service := x.table.Services[x.service]
+	if service == nil || service.MaxConnections <= 0 {
+		return link.NoIdleLimit
 	}
-	upstreamEx.Release(server.ConnPools.Get(lease.Upstream), server.Now(), maxIdle)
+	return server.Balancer.IdleConnectionLimit(lease.Upstream, service.MaxConnections, server.RetryBudget.hostCount())
 }
 
 // discardBody reads the rest of an unneeded response. It keeps the connection if
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -3,16 +3,37 @@
 import (
 	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
+	"mulberrydyke/route"
 )
 
-// logDrain logs what the head of a response says of whether its upstream is draining.
-func (x *exchange) logDrain(lease *dispatch.Lease, head call.ResponseHead) {
-	if problem := head.Drain.Problem; problem != nil {
-		x.server.Log.Warn("malformed draining flag", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID), "cause", problem)
+// recordDrain records that the upstream of a response has said in its head that it is
+// draining.
+func (x *exchange) recordDrain(lease *dispatch.Lease, head call.ResponseHead) {
+	said := head.Drain
+	if said.Problem != nil {
+		x.server.Log.Warn("malformed draining flag", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID), "cause", said.Problem)
 	}
-	if !head.Drain.Draining {
+	if !said.Draining {
 		return
 	}
-	x.server.Log.Info("upstream says that it is draining", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID),
-		"own-answer", head.ID == x.request.ID && !head.Misdirected, "status", head.Status)
+	u := x.responder(lease, head)
+	if u != nil && x.server.Drains.Record(x.server.Now(), u.ProcessKey()) {
+		x.server.Log.Info("upstream says that it is draining", "id", string(x.request.ID), "upstream", string(u.ID), "status", head.Status)
+	}
+}
+
+// responder returns the upstream that sent a response, or nil if that is not known. If another
+// upstream has taken over the address, the response names it.
+func (x *exchange) responder(lease *dispatch.Lease, head call.ResponseHead) *route.Upstream {
+	switch {
+	case head.ID != x.request.ID:
+		return nil
+	case !head.Misdirected || head.Instance == lease.Upstream.ID:
+		return lease.Upstream
+	}
+	u := x.server.LookupUpstream(head.Instance)
+	if u == nil || u.Address != lease.Upstream.Address {
+		return nil
+	}
+	return u
 }
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -229,7 +229,7 @@
 	x.endedWithConn = upstreamEx.EndsWithConn()
 	head := upstreamEx.Head
 	x.recordRateLimit(lease, head)
-	x.logDrain(lease, head)
+	x.recordDrain(lease, head)
 	if head.NotExecuted {
 		x.discardBody(upstreamEx, lease)
 		result := dispatch.Refused
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -14,6 +14,7 @@
 
 	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
@@ -42,9 +43,12 @@
 	// for those whose rate is limited.
 	RateLimits *ratelimit.Limiter
 	Permits    Permits
+	// Drains holds the upstreams that have said that they are draining.
+	Drains *drain.Table
 	// Table returns the table in force, or nil while none is known.
 	Table func() *route.Table
-	// LookupUpstream returns an upstream as it is listed now, or nil.
+	// LookupUpstream returns an upstream as it is listed now, or nil. One that has said that it
+	// is draining is in that state.
 	LookupUpstream func(plan.UpstreamID) *route.Upstream
 	Log            *slog.Logger
 	Metrics        *Metrics
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/platform"
 	"mulberrydyke/quarantine"
@@ -170,6 +171,7 @@
 	server   *Server
 	frontend *httptest.Server
 	balancer *dispatch.Balancer
+	pools    *ConnPools
 	// mu guards table and upstreams, which tests change while requests run.
 	mu        sync.Mutex
 	table     *route.Table
@@ -182,6 +184,23 @@
 	f.table = t
 }
 
+// applyDrains puts the upstreams that have said that they are draining in that state.
+func (f *fixture) applyDrains() {
+	f.mu.Lock()
+	f.upstreams = f.upstreams.WithDraining(f.server.Drains.Draining)
+	upstreams := f.upstreams
+	f.mu.Unlock()
+	f.balancer.SetUpstreams(time.Now(), upstreams)
+	f.pools.Prune(upstreams)
+}
+
+// draining reports whether the listed process of a stub has said that it is draining.
+func (f *fixture) draining(u *stub) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.server.Drains.Draining(f.upstreams.ByID[u.id].ProcessKey())
+}
+
 func testRoutes() []*route.Route {
 	splits := []route.Split{{Service: "pool", Weight: 1}}
 	return []*route.Route{
@@ -211,11 +230,12 @@
 	f.balancer.SetUpstreams(time.Now(), f.upstreams)
 	connPools, cleanup := NewConnPools()
 	t.Cleanup(cleanup)
+	f.pools = connPools
 	bounds := setting.EdgeBounds{RetryRatio: 1, RetryWindow: 10 * time.Second, RetryExtra: 100}
 	limiter := ratelimit.NewLimiter(time.Now().Add(-time.Minute), netip.MustParseAddr("127.0.0.1"), "a", nil)
 	f.server = NewServer(Options{
 		Dialect: platform.Dialect{}, Balancer: f.balancer, ConnPools: connPools, RetryBudget: NewRetryBudget(bounds, func() int { return 1 }, f.balancer), Quarantine: quarantine.NewTable("h"),
-		RateLimits: limiter, Permits: ownPermits{limiter},
+		RateLimits: limiter, Permits: ownPermits{limiter}, Drains: drain.NewTable(f.applyDrains),
 		Table: func() *route.Table {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/gateway/links.go
+++ b/gateway/links.go
@@ -48,15 +48,19 @@
 	return entry.pool
 }
 
-// Prune closes and removes the pools of upstreams that are no longer listed.
-// Connections in use are closed when they are returned.
+// Prune closes the idle connections to upstreams that are draining, and removes the pools of
+// those that are no longer listed. Connections in use are closed when they are returned.
 func (p *ConnPools) Prune(upstreams *route.Upstreams) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id, entry := range p.pools {
-		if upstreams.ByID[id] == nil {
+		u := upstreams.ByID[id]
+		switch {
+		case u == nil:
 			entry.cleanup()
 			delete(p.pools, id)
+		case u.State != route.Ready:
+			entry.pool.CloseIdle()
 		}
 	}
 }
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -12,6 +12,7 @@
 
 	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
@@ -38,10 +39,10 @@
 	// offset is when in each interval the host sends.
 	offset    time.Duration
 	sentBytes int
-	// lastUpdates and lastLimits are when the host last told new suspects and changed rate
-	// limits at once.
-	lastUpdates, lastLimits time.Time
-	startedAt               time.Time
+	// lastUpdates, lastLimits and lastDrains are when the host last told new suspects, changed
+	// rate limits and draining upstreams at once.
+	lastUpdates, lastLimits, lastDrains time.Time
+	startedAt                           time.Time
 	// cutFrom, if set, reports which hosts are out of reach.
 	cutFrom func(*simHost) bool
 }
@@ -97,7 +98,7 @@
 	balancer.SetUpstreams(f.now, list)
 	h.Node = newNode(Options{
 		Host: id, Domain: d, Incarnation: f.random.Uint64() | 1, IP: a, Seeds: seeds, Balancer: balancer,
-		Quarantine: quarantine.NewTable(id), Limiter: ratelimit.NewLimiter(f.now, a, d, f.domains), Lists: h.lists, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return f.now },
+		Quarantine: quarantine.NewTable(id), Limiter: ratelimit.NewLimiter(f.now, a, d, f.domains), Drains: drain.NewTable(func() {}), Lists: h.lists, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return f.now },
 	})
 	h.transmit = func(raw []byte, to netip.Addr) { f.deliver(h, raw, to) }
 	h.awaitDecision = decisionAtOnce
@@ -159,6 +160,7 @@
 	}
 	f.runUpdate(h.Quarantine.Changed(), &h.lastUpdates, h.sendSuspectUpdates)
 	f.runUpdate(h.Limiter.Changed(), &h.lastLimits, h.sendLimitUpdates)
+	f.runUpdate(h.Drains.Changed(), &h.lastDrains, h.sendDrainUpdates)
 }
 
 func (f *simFleet) runUpdate(changed <-chan struct{}, last *time.Time, send func(time.Time)) {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
@@ -263,7 +264,10 @@
 		"negative load":           func(m *Message) { m.Report.Loads = []dispatch.Load{{PendingTokens: -1}} },
 		"too many suspects":       func(m *Message) { m.Suspects = make([]quarantine.Suspect, maxSuspects+1) },
 		"suspect without crashes": func(m *Message) { m.Suspects = []quarantine.Suspect{{Key: 1, Depth: 1}} },
-		"unknown kind":            func(m *Message) { m.Kind = KindPermitDecision + 1 },
+		"unknown kind":            func(m *Message) { m.Kind = KindDrains + 1 },
+		"too many drains":         func(m *Message) { m.Drains = make([]drain.Update, maxDrains+1) },
+		"drain without a process": func(m *Message) { m.Drains = make([]drain.Update, 1) },
+		"drain of the future":     func(m *Message) { m.Drains = []drain.Update{{Key: 1, UnlistedMillis: -1}} },
 		"domain without a name":   func(m *Message) { m.Report.Domains = make([]dispatch.DomainAge, 1) },
 	} {
 		m := newMessage(1, "a", 1)
@@ -325,7 +329,7 @@
 		n, cleanup, err := Listen(Options{
 			Host: plan.HostID(ip.String()), Domain: "a", Incarnation: 1, IP: ip, DatagramPort: port, RPCAddr: netip.AddrPortFrom(ip, port),
 			Seeds:    []netip.AddrPort{netip.MustParseAddrPort("127.0.0.2:1"), netip.MustParseAddrPort("127.0.0.3:1")},
-			Balancer: dispatch.NewBalancer("h", "a", time.Second), Quarantine: quarantine.NewTable("h"), Limiter: ratelimit.NewLimiter(time.Now(), netip.MustParseAddr("127.0.0.1"), "a", nil), Lists: lists, Log: slog.New(slog.DiscardHandler), Now: time.Now,
+			Balancer: dispatch.NewBalancer("h", "a", time.Second), Quarantine: quarantine.NewTable("h"), Limiter: ratelimit.NewLimiter(time.Now(), netip.MustParseAddr("127.0.0.1"), "a", nil), Drains: drain.NewTable(func() {}), Lists: lists, Log: slog.New(slog.DiscardHandler), Now: time.Now,
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
@@ -21,7 +22,7 @@
 // of different versions do not hear each other: each set of hosts counts as the
 // whole fleet, reads the platform's store by itself and shares its upstreams with
 // the other set without knowing its load.
-const protocolVersion = 8
+const protocolVersion = 9
 
 const (
 	// maxMessageBytes bounds a datagram that is received.
@@ -31,8 +32,9 @@
 	maxReportBytes = 900
 	// maxSuspects bounds the suspects in one message.
 	maxSuspects = 64
-	// maxLimits bounds the rate limits in one message.
+	// maxLimits bounds the rate limits in one message, and maxDrains the draining upstreams.
 	maxLimits = 64
+	maxDrains = 64
 	// maxLocalPeers and maxRemotePeers bound the addresses of hosts of the local
 	// domain and of another domain in one message.
 	maxLocalPeers  = 8
@@ -75,6 +77,8 @@
 	// KindPermitDecision answers it.
 	KindPermitAsk
 	KindPermitDecision
+	// KindDrains carries upstreams that have said that they are draining, and no report.
+	KindDrains
 )
 
 // Message is the datagram that a host sends to its peers.
@@ -115,6 +119,9 @@
 	Decision *ratelimit.Decision `cbor:"19,keyasint,omitempty"`
 	// Leaving is set while the sender stops.
 	Leaving bool `cbor:"20,keyasint,omitempty"`
+	// Drains are upstreams that have said that they are draining. Only messages of KindDrains
+	// carry them.
+	Drains []drain.Update `cbor:"21,keyasint,omitempty"`
 }
 
 // carriesReport reports whether the message describes load.
@@ -163,7 +170,7 @@
 		return &DecodeError{Reason: fmt.Sprintf("unsupported protocol version %d", m.Protocol)}
 	case m.Host == "" || m.Domain == "" || m.Incarnation == 0:
 		return &DecodeError{Reason: "missing host, domain or incarnation"}
-	case m.Kind < KindHost || m.Kind > KindPermitDecision || m.Group == 0:
+	case m.Kind < KindHost || m.Kind > KindDrains || m.Group == 0:
 		return &DecodeError{Reason: "unknown kind or missing group"}
 	case m.Hosts < 0 || m.ReaderAge < 0:
 		return &DecodeError{Reason: "negative number of hosts or age"}
@@ -178,6 +185,9 @@
 	if err := m.validateLimits(); err != nil {
 		return err
 	}
+	if err := m.validateDrains(); err != nil {
+		return err
+	}
 	if err := m.validatePeers(); err != nil {
 		return err
 	}
@@ -202,6 +212,18 @@
 	return nil
 }
 
+func (m *Message) validateDrains() error {
+	if len(m.Drains) > maxDrains {
+		return &DecodeError{Reason: "too many draining upstreams"}
+	}
+	for _, u := range m.Drains {
+		if !u.Valid() {
+			return &DecodeError{Reason: "malformed draining upstream"}
+		}
+	}
+	return nil
+}
+
 func (m *Message) validatePeers() error {
 	if len(m.Peers) > maxPeerDomains {
 		return &DecodeError{Reason: "too many domains of peers"}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"mulberrydyke/dispatch"
+	"mulberrydyke/drain"
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
@@ -72,9 +73,12 @@
 	// Limiter holds the rate limits of upstreams, which hosts tell each other, and gives
 	// out permits for those that this host keeps.
 	Limiter *ratelimit.Limiter
-	Lists   Lists
-	Log     *slog.Logger
-	Now     func() time.Time
+	// Drains holds the upstreams that have said that they are draining, which hosts tell each
+	// other.
+	Drains *drain.Table
+	Lists  Lists
+	Log    *slog.Logger
+	Now    func() time.Time
 }
 
 // Node exchanges messages with the other hosts.
@@ -108,6 +112,8 @@
 	suspectRounds int
 	// limitRounds counts the calls of tellLimits that had something to tell.
 	limitRounds int
+	// drainRounds counts the calls of tellDrains.
+	drainRounds int
 	// leaving is set while the host stops.
 	leaving bool
 	// pendingAsks holds the asks for permits that are not answered, by their number.
@@ -208,6 +214,7 @@
 	defer tasks.Wait()
 	tasks.Go(func() { n.runUpdates(ctx, n.Quarantine.Changed(), n.sendSuspectUpdates) })
 	tasks.Go(func() { n.runUpdates(ctx, n.Limiter.Changed(), n.sendLimitUpdates) })
+	tasks.Go(func() { n.runUpdates(ctx, n.Drains.Changed(), n.sendDrainUpdates) })
 	n.send(n.Now(), false)
 	for {
 		select {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -44,6 +44,9 @@
 	if n.Limiter.Merge(now, msg.Limits) {
 		n.Log.Info("rate limits told", "by", string(msg.Host), "limits", len(msg.Limits))
 	}
+	if n.Drains.Merge(now, msg.Drains, role >= RoleSpeaker) {
+		n.Log.Info("draining upstreams told", "by", string(msg.Host), "upstreams", len(msg.Drains))
+	}
 	if reply {
 		n.sendHello(now, from)
 	}
@@ -83,6 +86,6 @@
 		if local && role == RoleMember && msg.Group == group {
 			n.Balancer.ApplyRestReport(now, msg.Hosts, msg.Report)
 		}
-	case KindHello, KindSuspects, KindLimits, KindPermitAsk, KindPermitDecision:
+	case KindHello, KindSuspects, KindLimits, KindPermitAsk, KindPermitDecision, KindDrains:
 	}
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -31,6 +31,7 @@
 	n.sendToGroups(now, targets)
 	n.tellSuspects(now, targets.Group)
 	n.tellLimits(now, targets.Group)
+	n.tellDrains(now, targets.Group)
 	if len(targets.Domains) > 0 {
 		report, hosts := n.Balancer.DomainReport(now)
 		n.sendReport(now, targets.Domains, Message{Kind: KindDomain, Hosts: hosts, Report: report})
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"time"
 
 	"mulberrydyke/plan"
@@ -49,3 +50,23 @@
 	// ByID is not modified once the list is published.
 	ByID map[plan.UpstreamID]*Upstream
 }
+
+// WithDraining returns the list in which the upstreams for which draining returns true are in
+// that state. It returns the list itself if that changes nothing.
+func (u *Upstreams) WithDraining(draining func(ProcessKey) bool) *Upstreams {
+	changed := map[plan.UpstreamID]*Upstream{}
+	for id, x := range u.ByID {
+		if x.State == Draining || !draining(x.ProcessKey()) {
+			continue
+		}
+		y := *x
+		y.State = Draining
+		changed[id] = &y
+	}
+	if len(changed) == 0 {
+		return u
+	}
+	out := &Upstreams{Revision: u.Revision, ByID: maps.Clone(u.ByID)}
+	maps.Copy(out.ByID, changed)
+	return out
+}
