Hold to all times to come back that upstreams give

An infinite time was taken for an hour, and nothing malformed was logged. Cause: one line in the decoder that knew only the plain case, and one bound for two things, the pause of the host that was told and that of the others.

The time is decoded into a type that checks itself now. The host that was told holds to it for up to an hour, the others, to which the upstream did not say so, for 30 s at most as before. Of several times the one that ends last counts, so a shorter one after a longer one changes nothing. After the end hosts return one after the other within a quarter of the pause, a second at most, instead of all in the same moment. The check right before a send looks at the pause too.

--- a/call/call.go
+++ b/call/call.go
@@ -130,9 +130,9 @@
 	Drain drain.Announcement
 	// RateLimit is what the upstream says of the rate at which it takes requests.
 	RateLimit ratelimit.Announcement
-	// RetryAfter is the time after which the upstream takes requests again, if it has not
-	// run this one. Zero means that it does not say.
-	RetryAfter time.Duration
+	// Pause is what the upstream says of when it takes requests again, if it has turned this
+	// one away.
+	Pause ratelimit.PauseAnnouncement
 }
 
 // Dialect translates between HTTP messages and the types of this package.
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -157,9 +157,9 @@
 		x.endAttempt(ctx, lease, dispatch.Unreachable, err)
 		return attemptNotRun
 	}
-	if u := server.LookupUpstream(lease.Upstream.ID); u == nil || u.State != route.Ready {
+	if err := x.checkUpstream(lease); err != nil {
 		conn.Close()
-		x.endAttempt(ctx, lease, dispatch.Refused, errUpstreamDraining)
+		x.endAttempt(ctx, lease, dispatch.Refused, err)
 		return attemptNotRun
 	}
 	return x.send(ctx, lease, conn)
@@ -177,6 +177,22 @@
 	}
 }
 
+// checkUpstream checks again, after the connection was taken, that the upstream of a lease takes
+// requests.
+func (x *exchange) checkUpstream(lease *dispatch.Lease) error {
+	if u := x.server.LookupUpstream(lease.Upstream.ID); u == nil || u.State != route.Ready {
+		return errUpstreamDraining
+	}
+	if x.server.RateLimits.ReturnsAt(lease.Upstream.ProcessKey()).After(x.server.Now()) {
+		return errUpstreamPaused
+	}
+	return nil
+}
+
+// errUpstreamPaused reports an upstream that said, before the request was sent, that it takes
+// none for some time.
+var errUpstreamPaused = errors.New("upstream takes no requests for some time")
+
 // errUpstreamDraining reports an upstream that began to shut down, or was removed
 // from the list, before the request was sent.
 var errUpstreamDraining = errors.New("upstream is draining or was removed")
@@ -229,6 +245,7 @@
 	x.endedWithConn = upstreamEx.EndsWithConn()
 	head := upstreamEx.Head
 	x.recordRateLimit(lease, head)
+	x.recordPause(lease, head)
 	x.recordDrain(lease, head)
 	if head.NotExecuted {
 		x.discardBody(upstreamEx, lease)
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -122,15 +122,27 @@
 	return ctx.Err() == nil
 }
 
-// recordRateLimit records what the head of a response says of the requests that its upstream
-// takes: at which rate, and from when on. A response that may come from another upstream says nothing.
+// recordPause records what the head of a response says of when its upstream takes requests
+// again.
+func (x *exchange) recordPause(lease *dispatch.Lease, head call.ResponseHead) {
+	if head.Misdirected || head.ID != x.request.ID {
+		return
+	}
+	said := head.Pause
+	if said.Problem != nil {
+		x.server.Log.Warn("malformed time to come back", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID), "taken", said.Pause, "cause", said.Problem)
+	}
+	if said.Pause > 0 && x.server.RateLimits.RecordPause(x.server.Now(), lease.Upstream.ProcessKey(), said.Pause) {
+		x.server.Log.Info("upstream pauses", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID), "for", said.Pause)
+	}
+}
+
+// recordRateLimit records what the head of a response says of the rate at which its upstream
+// takes requests. A response that may come from another upstream says nothing.
 func (x *exchange) recordRateLimit(lease *dispatch.Lease, head call.ResponseHead) {
 	if head.Misdirected || head.ID != x.request.ID || !head.Signed && !head.NotExecuted {
 		return
 	}
-	if head.RetryAfter > 0 && x.server.RateLimits.RecordPause(x.server.Now(), lease.Upstream.ProcessKey(), head.RetryAfter) {
-		x.server.Log.Info("upstream pauses", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID), "for", head.RetryAfter)
-	}
 	said := head.RateLimit
 	if said.Problem != nil {
 		x.server.Log.Warn("malformed rate limit", "id", string(x.request.ID), "upstream", string(lease.Upstream.ID),
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -165,3 +165,27 @@
 		}
 	}
 }
+
+// TestPauseIsReadFromEveryTurningAway guards against hosts that go on sending an upstream
+// requests which has answered 503 with the time to come back, whether or not it says that it has
+// not run the request, and in whole or broken seconds.
+func TestPauseIsReadFromEveryTurningAway(t *testing.T) {
+	for _, fields := range []string{"Not-Executed: 1\r\nRetry-After: 2\r\n", "Not-Executed: 1\r\nRetry-After: 1.5\r\n", "Response-Seal: s\r\nRetry-After: 2\r\n", "Retry-After: 2, 1\r\n"} {
+		paused := newStub(t, "u1", func(conn net.Conn, r receivedRequest) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 503 X\r\nRequest-Id: %s\r\n%sContent-Length: 0\r\n\r\n", r.Header.Get("Request-Id"), fields)
+			return true
+		})
+		f := newFixture(t, paused)
+		f.post("/status/", "")
+		var callers sync.WaitGroup
+		for range 20 {
+			callers.Go(func() { f.post("/place/", "order") })
+		}
+		time.Sleep(1200 * time.Millisecond)
+		n := len(paused.requests())
+		callers.Wait()
+		if n != 1 {
+			t.Errorf("%q: %d requests were sent in 1.2 s, want 1", fields, n)
+		}
+	}
+}
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -28,8 +28,8 @@
 // a permit.
 func (l *Limiter) AvailableAt(now time.Time, u *route.Upstream, urgency int) (time.Time, bool) {
 	k := u.ProcessKey()
-	if until := l.PausedUntil(k); until.After(now) {
-		return until, true
+	if at := l.ReturnsAt(k); at.After(now) {
+		return at, true
 	}
 	rate := l.Rate(now, k)
 	if rate == NoLimit {
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -45,7 +45,7 @@
 
 // expired reports whether an entry no longer matters.
 func (e *entry) expired(now time.Time) bool {
-	return e.statement.expired(now) && !now.Before(e.pausedUntil)
+	return e.statement.expired(now) && !now.Before(e.pause.until)
 }
 
 // expired reports whether a statement no longer matters.
@@ -68,8 +68,8 @@
 // entry is what is known of the limit of one upstream.
 type entry struct {
 	statement Statement
-	// pausedUntil is when the upstream takes requests again, after it said so to one host.
-	pausedUntil time.Time
+	// pause is the last time in which the upstream takes no requests, after it said so to a host.
+	pause pause
 }
 
 // NewTable returns an empty table.
--- a/ratelimit/updates.go
+++ b/ratelimit/updates.go
@@ -36,7 +36,7 @@
 			return false
 		}
 	}
-	if u.PauseMillis < 0 || u.PauseMillis > maxPause.Milliseconds() {
+	if u.PauseMillis < 0 || u.PauseMillis > maxToldPause.Milliseconds() {
 		return false
 	}
 	return u.Key != 0 && u.ReceivedAgeMillis >= 0 && u.SentAgeMillis >= u.ReceivedAgeMillis && u.SentAgeMillis <= limitTTL.Milliseconds()*2
@@ -56,7 +56,7 @@
 	s := e.statement
 	received := max(0, now.Sub(s.ReceivedAt)).Milliseconds()
 	sent := max(received, (now.Sub(s.SentAt) + time.Millisecond - 1).Milliseconds())
-	return Update{Key: s.Key, Rate: s.Rate, SentAgeMillis: sent, ReceivedAgeMillis: received, PauseMillis: max(0, e.pausedUntil.Sub(now)).Milliseconds()}
+	return Update{Key: s.Key, Rate: s.Rate, SentAgeMillis: sent, ReceivedAgeMillis: received, PauseMillis: max(0, e.pause.toldUntil.Sub(now)).Milliseconds()}
 }
 
 // Changed returns a channel that signals that there are updates that were not sent yet.
@@ -74,8 +74,7 @@
 		if before, after := t.add(now, list[i].statement(now)); before != after {
 			changed = true
 		}
-		until := now.Add(time.Duration(list[i].PauseMillis) * time.Millisecond)
-		changed = t.pause(now, list[i].Key, until) || changed
+		changed = t.mergePause(now, list[i].Key, time.Duration(list[i].PauseMillis)*time.Millisecond) || changed
 	}
 	return changed
 }
