Order the store's changes by epoch, not by revision alone

Cause: revisions were compared across two histories. The store gives them out again after its return, so readers took what it held, and what was written anew under revisions that they had seen, for old, watched from a revision that it doesn't have and read everything again without a pause; hosts that rely on others fetched only from peers with a higher revision.

The epoch is decoded from each answer of the store; an earlier one, one that is malformed, or none though others named one, is refused and logged; pages of two epochs are read again, and so is everything if a watch is answered from another epoch. A table counts by its version, over all epochs; of two with the same version the one of the later epoch does. An upstream that the copy lacks has the grace period, counted from when the first host read from the epoch. One that was removed before stays out until its process writes again, or for 10 s, in which the store removes dead entries; one that was draining stays so. If a store has no history after the position that it has just named, the reader pauses as after a failure.

The copy of the store decides, so it moves from package platform, which only translates, to package catalog, with its tests. Hosts of the protocol before, which name no epoch, are not heard and read the store by themselves.

--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,335 @@
+// Package catalog keeps one host's copy of what the platform's store holds: the routing table
+// and the upstreams. It decides whether an upstream whose entry is missing has left, and what
+// still counts after the store has come back from an older copy. Hosts send each other its
+// content as snapshots.
+//
+// Nothing here has a clock or does I/O: the current time is an argument. How entries are read
+// and encoded is up to package platform.
+package catalog
+
+import (
+	"bytes"
+	"time"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
+)
+
+// missingGracePeriod is how long an upstream whose entry is missing after a
+// failure of the store stays in use. Upstreams whose entries expired during the
+// failure write them again within two seconds.
+const missingGracePeriod = 2200 * time.Millisecond
+
+// Entry is an upstream's entry in the store, or its removal.
+type Entry struct {
+	ID plan.UpstreamID `json:"id"`
+	// Value is the entry as it was written.
+	Value []byte `json:"value,omitempty"`
+	// Revision is that of its last change. It is zero if the entry was read only in
+	// an earlier epoch.
+	Revision uint64 `json:"revision"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// TableEntry is the entry of the routing table in the store.
+type TableEntry struct {
+	// Value is the entry as it was written.
+	Value []byte `json:"value"`
+	// Position is where the entry was read. It may be of an earlier epoch than the
+	// catalog, if the store has come back with an older table.
+	Position route.Position `json:"position"`
+}
+
+// Decoder decodes the values of entries.
+type Decoder interface {
+	DecodeTable(raw []byte) (*route.Table, error)
+	DecodeUpstream(id plan.UpstreamID, position route.Position, raw []byte) (*route.Upstream, error)
+}
+
+// Catalog is one host's copy of the store. It is not safe for concurrent use.
+type Catalog struct {
+	decoder Decoder
+	table   *route.Table
+	// tableEntry is the entry behind table, to be sent to other hosts.
+	tableEntry TableEntry
+	// tableReadAt is when the first host of the fleet read the current table
+	// from the store, as far as this host knows.
+	tableReadAt time.Time
+	// tableRevision is the newest revision of this epoch seen of the table's entry.
+	tableRevision uint64
+	// entries holds the entries behind upstreams, to be sent to other hosts.
+	entries map[plan.UpstreamID]Entry
+	// revisions holds the newest revision of this epoch seen of each upstream.
+	revisions map[plan.UpstreamID]uint64
+	upstreams map[plan.UpstreamID]*route.Upstream
+	// departures holds the upstreams that were removed.
+	departures departures
+	// graceDeadlines holds when each missing upstream is removed.
+	graceDeadlines map[plan.UpstreamID]time.Time
+	// failedAt is when the store last failed; recoveredAt is when it then
+	// served a full read. While failedAt is after recoveredAt, the store is
+	// unreachable.
+	failedAt, recoveredAt time.Time
+	// position is the place in the store's changes up to which the catalog is
+	// complete, and epochBeganAt when the first host of the fleet read from its
+	// epoch, as far as this host knows.
+	position     route.Position
+	epochBeganAt time.Time
+	// rejected holds the errors of entries that could not be decoded, until
+	// they are logged.
+	rejected []error
+}
+
+// New returns an empty catalog.
+func New(d Decoder) *Catalog {
+	return &Catalog{
+		decoder: d, entries: map[plan.UpstreamID]Entry{}, revisions: map[plan.UpstreamID]uint64{}, upstreams: map[plan.UpstreamID]*route.Upstream{},
+		graceDeadlines: map[plan.UpstreamID]time.Time{}, departures: newDepartures(),
+	}
+}
+
+// Position returns the position in the store's changes up to which the catalog is
+// complete.
+func (c *Catalog) Position() route.Position { return c.position }
+
+// Table returns the table in force, or nil, and when the first host read it.
+func (c *Catalog) Table() (t *route.Table, readAt time.Time) { return c.table, c.tableReadAt }
+
+// TakeRejected returns the errors of entries that could not be decoded since the
+// last call.
+func (c *Catalog) TakeRejected() []error {
+	rejected := c.rejected
+	c.rejected = nil
+	return rejected
+}
+
+// Changes reports which views an update changed.
+type Changes struct{ Table, Upstreams bool }
+
+// Union returns the changes of both.
+func (c Changes) Union(d Changes) Changes {
+	return Changes{Table: c.Table || d.Table, Upstreams: c.Upstreams || d.Upstreams}
+}
+
+// RecordFailure records that a call to the store failed.
+func (c *Catalog) RecordFailure(now time.Time) { c.failedAt = now }
+
+// RecordFullRead records the first full read after a failure of the store.
+func (c *Catalog) RecordFullRead(now time.Time) {
+	if !c.recoveredAt.After(c.failedAt) && !c.failedAt.IsZero() {
+		c.recoveredAt = now
+	}
+}
+
+// Failed reports whether the store has failed since the last full read.
+func (c *Catalog) Failed() bool { return c.failedAt.After(c.recoveredAt) }
+
+// graceDeadline returns when an upstream that is found missing now is removed.
+// Unless the store has failed recently, the result is not after now.
+func (c *Catalog) graceDeadline(now time.Time) time.Time {
+	if c.failedAt.IsZero() {
+		return now
+	}
+	if c.Failed() {
+		return now.Add(missingGracePeriod)
+	}
+	return c.recoveredAt.Add(missingGracePeriod)
+}
+
+// beginEpoch turns to an epoch of the store, from which the first host read at
+// the given time. Revisions of earlier ones say nothing about it. Upstreams that
+// are missing in it are treated as after a failure of the store.
+func (c *Catalog) beginEpoch(began time.Time, epoch route.Epoch) {
+	if !c.position.IsZero() {
+		c.failedAt, c.recoveredAt = began, began
+	}
+	c.position, c.epochBeganAt = route.Position{Epoch: epoch}, began
+	c.tableRevision = 0
+	clear(c.revisions)
+	for id, e := range c.entries {
+		e.Revision = 0
+		c.entries[id] = e
+	}
+	c.departures.beginEpoch(began)
+}
+
+// FullRead is all that the store held at one position.
+type FullRead struct {
+	AsOf route.Position
+	// Table is nil if the store holds none.
+	Table     *TableEntry
+	Upstreams []Entry
+}
+
+// ApplyFullRead applies a full read of the store. It ignores one of an earlier
+// epoch, and reports whether it did.
+func (c *Catalog) ApplyFullRead(now time.Time, r FullRead) (changed Changes, stale bool) {
+	if r.AsOf.Epoch < c.position.Epoch {
+		return changed, true
+	}
+	if r.AsOf.Epoch > c.position.Epoch {
+		c.beginEpoch(now, r.AsOf.Epoch)
+	}
+	if r.Table != nil {
+		changed.Table = c.ApplyTable(now, *r.Table)
+	}
+	changed.Upstreams = c.replace(now, r.Upstreams, r.AsOf.Revision)
+	return changed, false
+}
+
+// replace applies the entries of all upstreams as of a revision of the present
+// epoch. It reports whether the upstreams changed.
+func (c *Catalog) replace(now time.Time, entries []Entry, revision uint64) bool {
+	changed := false
+	seen := make(map[plan.UpstreamID]bool, len(entries))
+	for _, e := range entries {
+		seen[e.ID] = true
+		changed = c.ApplyUpstream(now, e) || changed
+	}
+	for id := range c.upstreams {
+		if !seen[id] && c.revisions[id] <= revision {
+			changed = c.handleMissing(now, id) || changed
+		}
+	}
+	c.Advance(revision)
+	return changed
+}
+
+// Advance records that the catalog is complete up to a revision of the present
+// epoch.
+func (c *Catalog) Advance(revision uint64) {
+	c.position.Revision = max(c.position.Revision, revision)
+}
+
+// ApplyUpstream applies an upstream's entry of the present epoch, or its removal.
+// It ignores revisions older than the newest one seen of the upstream. It reports
+// whether the upstreams changed.
+func (c *Catalog) ApplyUpstream(now time.Time, e Entry) bool {
+	known, ok := c.revisions[e.ID]
+	if ok && e.Revision < known {
+		return false
+	}
+	c.revisions[e.ID] = e.Revision
+	if e.Deleted {
+		return c.handleMissing(now, e.ID)
+	}
+	_, wasMissing := c.graceDeadlines[e.ID]
+	delete(c.graceDeadlines, e.ID)
+	if known == e.Revision && c.upstreams[e.ID] != nil && !wasMissing {
+		return false
+	}
+	return c.adopt(now, e)
+}
+
+// adopt takes the entry of an upstream into use. It reports whether the upstreams
+// changed.
+func (c *Catalog) adopt(now time.Time, e Entry) bool {
+	u, err := c.decoder.DecodeUpstream(e.ID, route.Position{Epoch: c.position.Epoch, Revision: e.Revision}, e.Value)
+	if err != nil {
+		c.rejected = append(c.rejected, err)
+		_, known := c.upstreams[e.ID]
+		c.removeUpstream(now, e.ID)
+		return known
+	}
+	if c.departures.hold(e, u, c.position.Epoch, c.epochBeganAt) {
+		return false
+	}
+	if c.wasDraining(u) {
+		u.State = route.Draining
+	}
+	c.upstreams[e.ID] = u
+	c.departures.remove(e.ID)
+	c.entries[e.ID] = e
+	return true
+}
+
+// wasDraining reports whether the process of an upstream was draining before. It
+// does not return from that.
+func (c *Catalog) wasDraining(u *route.Upstream) bool {
+	if known := c.upstreams[u.ID]; known != nil && known.ProcessKey() == u.ProcessKey() {
+		return known.State == route.Draining
+	}
+	return c.departures.wasDraining(u)
+}
+
+// ApplyTable adopts a table if its version is higher than the current one. Of two
+// tables with the same version the one of the later epoch counts, since it was
+// written after the store had lost the other. It ignores revisions older than the
+// newest one seen in the present epoch. It reports whether the table changed.
+func (c *Catalog) ApplyTable(now time.Time, e TableEntry) bool {
+	if e.Position.Epoch == c.position.Epoch {
+		if e.Position.Revision < c.tableRevision {
+			return false
+		}
+		c.tableRevision = e.Position.Revision
+	}
+	t, err := c.decoder.DecodeTable(e.Value)
+	if err != nil {
+		c.rejected = append(c.rejected, err)
+		return false
+	}
+	if c.table != nil && (t.Version < c.table.Version || t.Version == c.table.Version && e.Position.Epoch <= c.tableEntry.Position.Epoch) {
+		return false
+	}
+	changed := !bytes.Equal(e.Value, c.tableEntry.Value)
+	c.tableEntry = e
+	if changed {
+		c.table, c.tableReadAt = t, now
+	}
+	return changed
+}
+
+// handleMissing handles an upstream without an entry. Soon after a failure of
+// the store the upstream stays in use for the grace period, because its entry
+// may have expired only because the store was unreachable. It reports whether it
+// removed the upstream.
+func (c *Catalog) handleMissing(now time.Time, id plan.UpstreamID) bool {
+	c.departures.release(id)
+	if c.upstreams[id] == nil {
+		return false
+	}
+	deadline := c.graceDeadline(now)
+	if !deadline.After(now) {
+		c.removeUpstream(now, id)
+		return true
+	}
+	if deadline.After(c.graceDeadlines[id]) {
+		c.graceDeadlines[id] = deadline
+	}
+	return false
+}
+
+// removeUpstream removes an upstream.
+func (c *Catalog) removeUpstream(now time.Time, id plan.UpstreamID) {
+	c.departures.add(now, id, c.upstreams[id], c.position.Epoch, max(c.position.Revision, c.revisions[id]))
+	delete(c.upstreams, id)
+	delete(c.graceDeadlines, id)
+	delete(c.entries, id)
+}
+
+// Expire removes the upstreams whose grace period has ended, and takes those into
+// use whose entries were held back for long enough. It reports whether there were
+// any.
+func (c *Catalog) Expire(now time.Time) bool {
+	changed := false
+	for id, deadline := range c.graceDeadlines {
+		if deadline.After(now) {
+			continue
+		}
+		c.removeUpstream(now, id)
+		changed = true
+	}
+	for _, e := range c.departures.takeReleased(now) {
+		changed = c.adopt(now, e) || changed
+	}
+	return changed
+}
+
+// Upstreams returns the upstreams as an immutable value.
+func (c *Catalog) Upstreams() *route.Upstreams {
+	v := &route.Upstreams{Position: c.position, ByID: make(map[plan.UpstreamID]*route.Upstream, len(c.upstreams))}
+	for id, u := range c.upstreams {
+		v.ByID[id] = u
+	}
+	return v
+}
--- /dev/null
+++ b/catalog/snapshot.go
@@ -0,0 +1,152 @@
+package catalog
+
+import (
+	"time"
+
+	"mulberrydyke/plan"
+	"mulberrydyke/route"
+)
+
+// Snapshot is the state that one host sends to another.
+type Snapshot struct {
+	// Table is the table in force, if the other host may not have it.
+	Table *TableEntry `json:"table,omitempty"`
+	// TableAge is the time since the first host read the table from the store.
+	// It is encoded in nanoseconds.
+	TableAge time.Duration `json:"table-age"`
+	// Upstreams are entries of upstreams, and removals.
+	Upstreams []Entry `json:"upstreams"`
+	// AsOf is the position up to which the sender's state is complete.
+	AsOf route.Position `json:"as-of"`
+	// Since is the position after which Upstreams is complete. Zero means that
+	// it holds all existing entries.
+	Since route.Position `json:"since"`
+	// EpochAge is the time since the first host read from the epoch of AsOf. It is
+	// encoded in nanoseconds.
+	EpochAge time.Duration `json:"epoch-age"`
+	// Missing lists the upstreams whose entries are missing and which will be
+	// removed at the end of their grace period.
+	Missing []MissingUpstream `json:"missing,omitempty"`
+}
+
+// MissingUpstream is an upstream whose entry went missing soon after a failure
+// of the store.
+type MissingUpstream struct {
+	ID plan.UpstreamID `json:"id"`
+	// Revision is the newest revision seen of the entry.
+	Revision uint64 `json:"revision"`
+	// Remaining is the rest of the grace period. It is encoded in nanoseconds.
+	Remaining time.Duration `json:"remaining"`
+}
+
+// SnapshotSince returns all changes after a position, or everything if the
+// position is zero or of another epoch, for a host that has a version of the
+// table.
+func (c *Catalog) SnapshotSince(now time.Time, since route.Position, table plan.Version) Snapshot {
+	if since.Epoch < c.position.Epoch {
+		since = route.Position{}
+	}
+	s := Snapshot{AsOf: c.position, Since: since, TableAge: now.Sub(c.tableReadAt), EpochAge: now.Sub(c.epochBeganAt)}
+	if c.table != nil && (c.table.Version > table || c.tableEntry.Position.After(since)) {
+		s.Table = &c.tableEntry
+	}
+	if since.After(c.position) {
+		return s
+	}
+	full := since.IsZero()
+	for _, e := range c.entries {
+		if full || e.Revision > since.Revision {
+			s.Upstreams = append(s.Upstreams, e)
+		}
+	}
+	for id, d := range c.departures.byID {
+		if c.upstreams[id] == nil && (full || d.revision > since.Revision) {
+			s.Upstreams = append(s.Upstreams, Entry{ID: id, Revision: d.revision, Deleted: true})
+		}
+	}
+	for id, deadline := range c.graceDeadlines {
+		s.Missing = append(s.Missing, MissingUpstream{ID: id, Revision: c.revisions[id], Remaining: max(0, deadline.Sub(now))})
+	}
+	return s
+}
+
+// Merge applies another host's snapshot. A table counts by its version. The rest
+// of a snapshot is ignored if it is not newer than the local state, or if it
+// starts after the local position, which would leave a gap.
+func (c *Catalog) Merge(now time.Time, s Snapshot) Changes {
+	var changed Changes
+	if s.Table != nil && c.ApplyTable(now, *s.Table) {
+		changed.Table = true
+		c.tableReadAt = now.Add(-max(0, s.TableAge))
+	}
+	if !c.continues(s) {
+		return changed
+	}
+	if s.AsOf.Epoch > c.position.Epoch {
+		c.beginEpoch(now.Add(-max(0, s.EpochAge)), s.AsOf.Epoch)
+	}
+	changed.Upstreams = c.mergeUpstreams(now, s)
+	c.Advance(s.AsOf.Revision)
+	return changed
+}
+
+// continues reports whether a snapshot is newer than the local state and leaves no
+// gap.
+func (c *Catalog) continues(s Snapshot) bool {
+	if !s.AsOf.After(c.position) {
+		return false
+	}
+	return s.Since.IsZero() || s.Since.Epoch == c.position.Epoch && !s.Since.After(c.position)
+}
+
+// mergeUpstreams applies the upstreams of a snapshot. An upstream that the other
+// host has removed is removed immediately, because that host has already waited
+// for the grace period; an upstream that is still in its grace period there is
+// removed when that period ends.
+func (c *Catalog) mergeUpstreams(now time.Time, s Snapshot) bool {
+	var present []Entry
+	changed := false
+	for _, e := range s.Upstreams {
+		if e.Deleted {
+			changed = c.mergeRemoval(now, e) || changed
+			continue
+		}
+		present = append(present, e)
+	}
+	if s.Since.IsZero() {
+		changed = c.replace(now, present, s.AsOf.Revision) || changed
+	} else {
+		for _, e := range present {
+			changed = c.ApplyUpstream(now, e) || changed
+		}
+	}
+	for _, u := range s.Missing {
+		c.mergeMissing(now, u)
+	}
+	return changed
+}
+
+// mergeRemoval removes an upstream that the other host has removed, unless a newer
+// entry has been seen here. It reports whether it did.
+func (c *Catalog) mergeRemoval(now time.Time, e Entry) bool {
+	if known, ok := c.revisions[e.ID]; ok && e.Revision < known {
+		return false
+	}
+	c.revisions[e.ID] = e.Revision
+	c.departures.release(e.ID)
+	if c.upstreams[e.ID] == nil {
+		return false
+	}
+	c.removeUpstream(now, e.ID)
+	return true
+}
+
+// mergeMissing adopts the other host's grace period for a missing upstream,
+// unless a newer entry has been seen here.
+func (c *Catalog) mergeMissing(now time.Time, u MissingUpstream) {
+	if c.upstreams[u.ID] == nil || c.revisions[u.ID] > u.Revision {
+		return
+	}
+	c.revisions[u.ID] = u.Revision
+	c.graceDeadlines[u.ID] = now.Add(min(missingGracePeriod, max(0, u.Remaining)))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -133,7 +133,7 @@
 			t = newTarget(u)
 			b.targets[id] = t
 		}
-		if t.upstream.Revision != u.Revision {
+		if t.upstream.Position != u.Position {
 			t.misdirected = false
 		}
 		t.upstream = u
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -30,7 +30,7 @@
 	for _, d := range []plan.DomainID{"a", "b", "c"} {
 		for i := range perDomain {
 			id := plan.UpstreamID(fmt.Sprintf("%s%d", d, i))
-			list.ByID[id] = &route.Upstream{ID: id, Service: "pool", Domain: d, Address: string(id), Slots: 64, Revision: 1}
+			list.ByID[id] = &route.Upstream{ID: id, Service: "pool", Domain: d, Address: string(id), Slots: 64, Position: route.Position{Revision: 1}}
 		}
 	}
 	return list
@@ -273,7 +273,7 @@
 		}
 	}
 	list := testUpstreams(1)
-	list.ByID[id].Revision = 2
+	list.ByID[id].Position.Revision = 2
 	b.SetUpstreams(after(11*time.Second), list)
 	found := false
 	for range 20 {
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -79,7 +79,7 @@
 	// awaitingFirstEvent holds this host's leases that have had no event yet.
 	awaitingFirstEvent map[*Lease]struct{}
 	// misdirected is set when another upstream has taken over the address. It is
-	// cleared when the platform lists a new revision of the upstream.
+	// cleared when the platform lists the upstream anew.
 	misdirected bool
 	// ejectedUntil is when the upstream may be used again.
 	ejectedUntil time.Time
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -263,12 +263,12 @@
 func (h *Host) Synced() { h.log.Info("platform read") }
 
 // Versions implements gossip.Lists.
-func (h *Host) Versions() (plan.Version, uint64) {
+func (h *Host) Versions() (plan.Version, route.Position) {
 	version := plan.Version(0)
 	if t := h.table.Load(); t != nil {
 		version = t.Version
 	}
-	return version, h.reader.AsOf()
+	return version, h.reader.Position()
 }
 
 // Reading implements gossip.Lists.
@@ -278,7 +278,9 @@
 func (h *Host) SetMustRead(mustRead bool) { h.reader.SetMustRead(mustRead) }
 
 // Snapshot implements gossip.Lists.
-func (h *Host) Snapshot(since uint64) ([]byte, error) { return h.reader.Snapshot(since) }
+func (h *Host) Snapshot(since route.Position, table plan.Version) ([]byte, error) {
+	return h.reader.Snapshot(since, table)
+}
 
 // Merge implements gossip.Lists.
 func (h *Host) Merge(raw []byte) error { return h.reader.Merge(raw) }
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -76,14 +76,14 @@
 		}
 	}
 	if len(listed)+len(gone) > maxLoggedUpstreams {
-		h.log.Info("upstreams changed", "listed", len(listed), "gone", len(gone), "total", len(after.ByID), "revision", after.Revision)
+		h.log.Info("upstreams changed", "listed", len(listed), "gone", len(gone), "total", len(after.ByID), "epoch", uint64(after.Position.Epoch), "revision", after.Position.Revision)
 		return
 	}
 	for _, u := range listed {
 		h.log.Info("upstream listed", "upstream", string(u.ID), "service", string(u.Service), "leaving", u.State == route.Draining,
-			"address", u.Address, "revision", u.Revision)
+			"address", u.Address, "epoch", uint64(u.Position.Epoch), "revision", u.Position.Revision)
 	}
 	for _, id := range gone {
-		h.log.Info("upstream gone", "upstream", string(id), "revision", after.Revision)
+		h.log.Info("upstream gone", "upstream", string(id), "epoch", uint64(after.Position.Epoch), "revision", after.Position.Revision)
 	}
 }
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -14,6 +14,7 @@
 
 	"mulberrydyke/link"
 	"mulberrydyke/plan"
+	"mulberrydyke/route"
 )
 
 const (
@@ -34,11 +35,20 @@
 // fetchMethod is the net/rpc service and method that returns the lists.
 const fetchMethod = "Lists.Fetch"
 
-// FetchRequest asks a host for all changes to its lists after revision Since.
+// FetchRequest asks a host for all changes to its lists after a position.
 type FetchRequest struct {
 	// Host is the host that sends the request.
 	Host  plan.HostID
-	Since uint64
+	Since route.Position
+	// Table is the version of the table that the host has.
+	Table plan.Version
+}
+
+// snapshotVersion tells which snapshot a host sends: what it has itself, and what
+// the other host has.
+type snapshotVersion struct {
+	sinceTable, table plan.Version
+	since, position   route.Position
 }
 
 // FetchReply holds a compressed snapshot of a host's lists.
@@ -48,26 +58,27 @@
 type listsService struct {
 	lists Lists
 	mu    sync.Mutex
-	// since, revision and compressed cache the last reply. When the lists
-	// change, all hosts of a domain send the same request.
-	since, revision uint64
-	compressed      []byte
+	// version and compressed cache the last reply. When the lists change, all
+	// hosts of a domain send the same request.
+	version    snapshotVersion
+	compressed []byte
 }
 
 // Fetch returns a compressed snapshot of this host's lists.
 func (s *listsService) Fetch(in FetchRequest, out *FetchReply) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, revision := s.lists.Versions()
-	if s.compressed == nil || s.since != in.Since || s.revision != revision {
-		raw, err := s.lists.Snapshot(in.Since)
+	version := snapshotVersion{sinceTable: in.Table, since: in.Since}
+	version.table, version.position = s.lists.Versions()
+	if s.compressed == nil || s.version != version {
+		raw, err := s.lists.Snapshot(in.Since, in.Table)
 		if err != nil {
 			return err
 		}
 		if s.compressed, err = compress(raw); err != nil {
 			return err
 		}
-		s.since, s.revision = in.Since, revision
+		s.version = version
 	}
 	out.Snapshot = s.compressed
 	return nil
@@ -143,10 +154,15 @@
 	return func() { _ = listener.Close() }, nil
 }
 
-// fetch fetches a peer's lists and merges them into this host's lists, which have
-// the given table version and revision before the merge.
-func (n *Node) fetch(peer netip.Addr, tableVersion plan.Version, revision uint64) {
-	raw, err := fetchFrom(netip.AddrPortFrom(peer, n.RPCAddr.Port()), FetchRequest{Host: n.Host, Since: revision})
+// fetch fetches a peer's lists, after beginFetch, and merges them into this host's
+// lists.
+func (n *Node) fetch(peer netip.Addr, before have) {
+	defer func() {
+		n.mu.Lock()
+		n.fetching = false
+		n.mu.Unlock()
+	}()
+	raw, err := n.fetchFrom(peer, FetchRequest{Host: n.Host, Since: before.position, Table: before.table})
 	if err == nil {
 		err = n.Lists.Merge(raw)
 	}
@@ -154,12 +170,14 @@
 		n.Log.Warn("failed to fetch lists", "peer", peer.String(), "cause", err)
 		return
 	}
-	newTableVersion, newRevision := n.Lists.Versions()
-	n.Log.Info("lists fetched", "peer", peer.String(), "table-before", uint64(tableVersion), "table", uint64(newTableVersion),
-		"revision-before", revision, "revision", newRevision)
+	table, position := n.Lists.Versions()
+	n.Log.Info("lists fetched", "peer", peer.String(), "table-before", uint64(before.table), "table", uint64(table),
+		"revision-before", before.position.Revision, "revision", position.Revision, "epoch", uint64(position.Epoch))
 }
 
-func fetchFrom(address netip.AddrPort, request FetchRequest) ([]byte, error) {
+// callFetch fetches a snapshot over a connection of its own.
+func (n *Node) callFetch(peer netip.Addr, request FetchRequest) ([]byte, error) {
+	address := netip.AddrPortFrom(peer, n.RPCAddr.Port())
 	dialer := net.Dialer{Timeout: fetchTimeout, Control: link.TCPUserTimeout(ackTimeout)}
 	conn, err := dialer.Dial("tcp4", address.String())
 	if err != nil {
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"log/slog"
@@ -48,13 +50,42 @@
 }
 
 // simLists implements Lists for a host that reads the store whenever it must.
-type simLists struct{ mustRead bool }
+type simLists struct {
+	mustRead bool
+	table    plan.Version
+	position route.Position
+}
+
+func (l *simLists) Versions() (plan.Version, route.Position) { return l.table, l.position }
+func (l *simLists) Reading() bool                            { return l.mustRead }
+func (l *simLists) SetMustRead(mustRead bool)                { l.mustRead = mustRead }
 
-func (l *simLists) Versions() (plan.Version, uint64) { return 1, 1 }
-func (l *simLists) Reading() bool                    { return l.mustRead }
-func (l *simLists) SetMustRead(mustRead bool)        { l.mustRead = mustRead }
-func (l *simLists) Snapshot(uint64) ([]byte, error)  { return nil, nil }
-func (l *simLists) Merge([]byte) error               { return nil }
+// simSnapshot is what simulated hosts send each other of their lists.
+type simSnapshot struct {
+	Table    plan.Version
+	Position route.Position
+}
+
+func (l *simLists) Snapshot(route.Position, plan.Version) ([]byte, error) {
+	return json.Marshal(simSnapshot{l.table, l.position})
+}
+
+func (l *simLists) Merge(raw []byte) error {
+	var s simSnapshot
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return err
+	}
+	l.read(s)
+	return nil
+}
+
+// read takes over what is newer.
+func (l *simLists) read(s simSnapshot) {
+	l.table = max(l.table, s.Table)
+	if s.Position.After(l.position) {
+		l.position = s.Position
+	}
+}
 
 const simStep = 10 * time.Millisecond
 
@@ -93,7 +124,7 @@
 
 func (f *simFleet) addHost(a netip.Addr, d plan.DomainID, seeds []netip.AddrPort, list *route.Upstreams) {
 	id := plan.HostID("host-" + a.String())
-	h := &simHost{lists: &simLists{}, startedAt: f.now, offset: time.Duration(f.random.Int64N(int64(Interval/simStep))) * simStep}
+	h := &simHost{lists: &simLists{table: 1, position: route.Position{Revision: 1}}, startedAt: f.now, offset: time.Duration(f.random.Int64N(int64(Interval/simStep))) * simStep}
 	balancer := dispatch.NewBalancer(id, d, time.Second)
 	balancer.SetUpstreams(f.now, list)
 	h.Node = newNode(Options{
@@ -101,19 +132,36 @@
 		Quarantine: quarantine.NewTable(id), Limiter: ratelimit.NewLimiter(f.now, a, d, f.domains), Drains: drain.NewTable(func() {}), Lists: h.lists, Log: slog.New(slog.DiscardHandler), Now: func() time.Time { return f.now },
 	})
 	h.transmit = func(raw []byte, to netip.Addr) { f.deliver(h, raw, to) }
+	h.fetchFrom = func(peer netip.Addr, request FetchRequest) ([]byte, error) { return f.fetch(h, peer, request) }
 	h.awaitDecision = decisionAtOnce
 	f.hosts = append(f.hosts, h)
 	f.byAddr[a] = h
 }
 
+// errOutOfReach reports a host that can't be reached.
+var errOutOfReach = errors.New("out of reach")
+
+// fetch returns the lists of a host.
+func (f *simFleet) fetch(from *simHost, to netip.Addr, request FetchRequest) ([]byte, error) {
+	h := f.byAddr[to]
+	if h == nil || h.down || cut(h, from) {
+		return nil, errOutOfReach
+	}
+	return h.lists.Snapshot(request.Since, request.Table)
+}
+
+// cut reports whether two hosts can't reach each other.
+func cut(a, b *simHost) bool {
+	return a.cutFrom != nil && a.cutFrom(b) || b.cutFrom != nil && b.cutFrom(a)
+}
+
 func (f *simFleet) deliver(from *simHost, raw []byte, to netip.Addr) {
 	if len(raw) > maxFrameBytes {
 		f.t.Errorf("a message of %d bytes, want at most %d", len(raw), maxFrameBytes)
 	}
 	from.sentBytes += len(raw)
 	h := f.byAddr[to]
-	cut := func(h, o *simHost) bool { return h.cutFrom != nil && h.cutFrom(o) }
-	if h == nil || h.down || cut(h, from) || cut(from, h) || f.random.Float64() < f.loss {
+	if h == nil || h.down || cut(h, from) || f.random.Float64() < f.loss {
 		return
 	}
 	msg, err := Decode(raw)
@@ -142,10 +190,16 @@
 			case h.down:
 			case f.now.Equal(start), f.now.Sub(start)%Interval == h.offset:
 				h.send(f.now, false)
+				f.catchUp(h)
 			case f.now.Sub(start)%startInterval == h.offset%startInterval:
 				h.decideReading(f.now)
 			}
 			f.runUpdates(h)
+			select {
+			case <-h.catchUpSignal:
+				f.catchUp(h)
+			default:
+			}
 		}
 		if check != nil {
 			check()
@@ -153,6 +207,16 @@
 	}
 }
 
+// catchUp fetches newer lists, without delay.
+func (f *simFleet) catchUp(h *simHost) {
+	if h.down {
+		return
+	}
+	if peer, before, ok := h.beginFetch(f.now); ok {
+		h.fetch(peer, before)
+	}
+}
+
 // runUpdates does what the goroutines do that tell changes at once.
 func (f *simFleet) runUpdates(h *simHost) {
 	if h.down {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -20,6 +20,7 @@
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
+	"mulberrydyke/route"
 )
 
 var start = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
@@ -173,16 +174,16 @@
 
 func TestPeerWithNewerListsReturnsLiveHost(t *testing.T) {
 	m := testMembers()
-	if _, ok := m.PeerWithNewerLists(start, 3, 10); ok {
+	if _, ok := m.PeerWithNewerLists(start, 3, route.Position{Revision: 10}); ok {
 		t.Error("a peer was returned though none has newer lists")
 	}
 	msg := newMessage(7, "a", 2)
-	msg.TableVersion, msg.Revision = 4, 12
+	msg.TableVersion, msg.Position.Revision = 4, 12
 	m.HandleMessage(start, addr(7), msg)
-	if got, ok := m.PeerWithNewerLists(start, 3, 10); !ok || got != addr(7) {
+	if got, ok := m.PeerWithNewerLists(start, 3, route.Position{Revision: 10}); !ok || got != addr(7) {
 		t.Errorf("peer with newer lists: %v, %v", got, ok)
 	}
-	if _, ok := m.PeerWithNewerLists(at(liveTimeout), 3, 10); ok {
+	if _, ok := m.PeerWithNewerLists(at(liveTimeout), 3, route.Position{Revision: 10}); ok {
 		t.Error("a silent host was returned")
 	}
 }
@@ -196,13 +197,13 @@
 		m := NewMembers(start, addr(self), plan.HostID(fmt.Sprintf("h%02d", self)), "a", nil)
 		for i := 1; i <= 9; i++ {
 			msg := newMessage(i, "a", 1)
-			msg.Revision = 9
+			msg.Position.Revision = 9
 			m.HandleMessage(start, addr(i), msg)
 		}
 		remote := newMessage(20, "b", 1)
-		remote.Revision = 12
+		remote.Position.Revision = 12
 		m.HandleMessage(start, addr(20), remote)
-		got, _ := m.PeerWithNewerLists(start, 0, 3)
+		got, _ := m.PeerWithNewerLists(start, 0, route.Position{Revision: 3})
 		if got == addr(20) {
 			t.Fatal("a host of another domain was preferred to the local domain")
 		}
@@ -230,7 +231,7 @@
 
 func TestMessageEncodingRoundTrip(t *testing.T) {
 	m := newMessage(1, "a", 7)
-	m.TableVersion, m.Revision, m.Reader, m.ReaderAge = 3, 9, addr(4), time.Second
+	m.TableVersion, m.Position.Revision, m.Reader, m.ReaderAge = 3, 9, addr(4), time.Second
 	m.Peers = []DomainPeers{{Domain: "a", Hosts: []Peer{newPeer(addr(2), RoleSpeaker, time.Second)}}}
 	m.Kind, m.Hosts = KindDomain, 4
 	m.Report = dispatch.Report{
@@ -293,18 +294,18 @@
 	merged   chan uint64
 }
 
-func (l *fakeLists) Versions() (plan.Version, uint64) {
+func (l *fakeLists) Versions() (plan.Version, route.Position) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return plan.Version(l.revision), l.revision
+	return plan.Version(l.revision), route.Position{Revision: l.revision}
 }
 
 func (l *fakeLists) Reading() bool    { return false }
 func (l *fakeLists) SetMustRead(bool) {}
 
-func (l *fakeLists) Snapshot(uint64) ([]byte, error) {
-	_, revision := l.Versions()
-	return json.Marshal(revision)
+func (l *fakeLists) Snapshot(route.Position, plan.Version) ([]byte, error) {
+	_, position := l.Versions()
+	return json.Marshal(position.Revision)
 }
 
 func (l *fakeLists) Merge(raw []byte) error {
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -50,7 +50,7 @@
 	incarnation                   uint64
 	sequence                      uint64
 	tableVersion                  plan.Version
-	revision                      uint64
+	position                      route.Position
 	reader                        readerNews
 }
 
@@ -112,7 +112,7 @@
 	}
 	x.host, x.domain, x.role, x.leaving, x.lastHeard = msg.Host, msg.Domain, msg.Role, msg.Leaving, now
 	x.incarnation, x.sequence = msg.Incarnation, msg.Sequence
-	x.tableVersion, x.revision = msg.TableVersion, msg.Revision
+	x.tableVersion, x.position = msg.TableVersion, msg.Position
 	x.reader = readerNews{addr: msg.Reader, at: now.Add(-msg.ReaderAge)}
 	for _, d := range msg.Peers {
 		for _, p := range d.Hosts {
@@ -248,12 +248,12 @@
 
 // PeerWithNewerLists returns a live host whose lists are newer than the given
 // versions, or false. Hosts of the local domain are preferred, then those with
-// the highest revision. The choice among equals depends on the round and on
+// the last position. The choice among equals depends on the round and on
 // this host's name, so that not all hosts fetch from the same peer.
-func (m *Members) PeerWithNewerLists(now time.Time, tableVersion plan.Version, revision uint64) (netip.Addr, bool) {
+func (m *Members) PeerWithNewerLists(now time.Time, tableVersion plan.Version, position route.Position) (netip.Addr, bool) {
 	var newest []*member
 	for _, x := range m.members {
-		if !x.live(now) || (x.tableVersion <= tableVersion && x.revision <= revision) {
+		if !x.live(now) || (x.tableVersion <= tableVersion && !x.position.After(position)) {
 			continue
 		}
 		if len(newest) > 0 && m.preferSource(newest[0], x) {
@@ -277,5 +277,5 @@
 	if sameDomain := x.domain == m.domain; sameDomain != (y.domain == m.domain) {
 		return sameDomain
 	}
-	return x.revision > y.revision
+	return x.position.After(y.position)
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -16,13 +16,14 @@
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
+	"mulberrydyke/route"
 )
 
 // protocolVersion is raised with each change that older hosts can't decode. Hosts
 // of different versions do not hear each other: each set of hosts counts as the
 // whole fleet, reads the platform's store by itself and shares its upstreams with
 // the other set without knowing its load.
-const protocolVersion = 9
+const protocolVersion = 10
 
 const (
 	// maxMessageBytes bounds a datagram that is received.
@@ -90,10 +91,10 @@
 	Incarnation uint64 `cbor:"4,keyasint"`
 	// Sequence increases with each message of an incarnation.
 	Sequence uint64 `cbor:"5,keyasint"`
-	// TableVersion and Revision are the versions of the host's routing table
-	// and of its copy of the platform's store.
-	TableVersion plan.Version `cbor:"6,keyasint"`
-	Revision     uint64       `cbor:"7,keyasint"`
+	// TableVersion is the version of the host's routing table, and Position that of
+	// its copy of the platform's store.
+	TableVersion plan.Version   `cbor:"6,keyasint"`
+	Position     route.Position `cbor:"7,keyasint"`
 	// Reader is a host of the domain that reads the platform's store, and
 	// ReaderAge the age of that news.
 	Reader    netip.Addr    `cbor:"8,keyasint"`
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -16,6 +16,7 @@
 	"mulberrydyke/plan"
 	"mulberrydyke/quarantine"
 	"mulberrydyke/ratelimit"
+	"mulberrydyke/route"
 )
 
 const (
@@ -39,17 +40,18 @@
 // Lists is this host's copy of the routing table and the upstreams published by
 // the platform, as exchanged between hosts.
 type Lists interface {
-	// Versions returns the version of the routing table and the revision of the
-	// platform's store that this host has.
-	Versions() (table plan.Version, revision uint64)
+	// Versions returns the version of the routing table that this host has, and the
+	// position in the changes of the platform's store up to which it knows them.
+	Versions() (table plan.Version, position route.Position)
 	// Reading reports whether this host currently reads the platform's store
 	// itself.
 	Reading() bool
 	// SetMustRead sets whether this host has to read the platform's store
 	// itself.
 	SetMustRead(mustRead bool)
-	// Snapshot returns everything newer than a revision, encoded for Merge.
-	Snapshot(since uint64) ([]byte, error)
+	// Snapshot returns everything after a position, for a host that has the given
+	// version of the table, encoded for Merge.
+	Snapshot(since route.Position, table plan.Version) ([]byte, error)
 	// Merge applies the parts of another host's snapshot that are newer.
 	Merge(raw []byte) error
 }
@@ -85,9 +87,10 @@
 type Node struct {
 	Options
 	conn *net.UDPConn
-	// transmit sends a datagram to another host.
-	transmit func(raw []byte, to netip.Addr)
-	mu       sync.Mutex
+	// transmit sends a datagram to another host, and fetchFrom fetches its lists.
+	transmit  func(raw []byte, to netip.Addr)
+	fetchFrom func(peer netip.Addr, request FetchRequest) ([]byte, error)
+	mu        sync.Mutex
 	// members is guarded by mu, as are the fields below except the atomic
 	// knownCount and the channel catchUpSignal.
 	members  *Members
@@ -130,7 +133,7 @@
 		return nil, nil, eris.Wrap(err, "listen for datagrams")
 	}
 	n := newNode(o)
-	n.conn, n.transmit = conn, n.writeDatagram
+	n.conn, n.transmit, n.fetchFrom = conn, n.writeDatagram, n.callFetch
 	closeRPC, err := n.listenRPC()
 	if err != nil {
 		_ = conn.Close()
@@ -191,9 +194,9 @@
 
 // requestCatchUp wakes Run to fetch lists if a peer has newer ones.
 func (n *Node) requestCatchUp() {
-	tableVersion, revision := n.Lists.Versions()
+	tableVersion, position := n.Lists.Versions()
 	n.mu.Lock()
-	_, behind := n.members.PeerWithNewerLists(n.Now(), tableVersion, revision)
+	_, behind := n.members.PeerWithNewerLists(n.Now(), tableVersion, position)
 	n.mu.Unlock()
 	if !behind {
 		return
@@ -244,14 +247,28 @@
 	return settled
 }
 
-// catchUp fetches the lists of a peer that has newer ones. A host that reads
-// the store itself first waits for fetchDelay.
+// have is what a host has of the lists.
+type have struct {
+	table    plan.Version
+	position route.Position
+}
+
+// catchUp fetches the lists of a peer that has newer ones.
 func (n *Node) catchUp() {
-	now := n.Now()
-	tableVersion, revision := n.Lists.Versions()
+	if peer, before, ok := n.beginFetch(n.Now()); ok {
+		go n.fetch(peer, before)
+	}
+}
+
+// beginFetch returns the peer to fetch lists from now, and what this host has before
+// that. It returns false if there is none, or if a fetch is in progress. A host that
+// reads the store itself first waits for fetchDelay.
+func (n *Node) beginFetch(now time.Time) (peer netip.Addr, before have, ok bool) {
+	before.table, before.position = n.Lists.Versions()
 	reading := n.Lists.Reading()
 	n.mu.Lock()
-	peer, behind := n.members.PeerWithNewerLists(now, tableVersion, revision)
+	defer n.mu.Unlock()
+	peer, behind := n.members.PeerWithNewerLists(now, before.table, before.position)
 	if !behind {
 		n.behindSince = time.Time{}
 	} else if n.behindSince.IsZero() {
@@ -261,14 +278,5 @@
 	if due {
 		n.lastFetch, n.fetching = now, true
 	}
-	n.mu.Unlock()
-	if !due {
-		return
-	}
-	go func() {
-		n.fetch(peer, tableVersion, revision)
-		n.mu.Lock()
-		n.fetching = false
-		n.mu.Unlock()
-	}()
+	return peer, before, due
 }
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -80,7 +80,7 @@
 // sendMessage completes a message with what all messages carry, and sends it.
 func (n *Node) sendMessage(now time.Time, targets []netip.Addr, msg Message) {
 	msg.Protocol, msg.Host, msg.Domain, msg.Incarnation = protocolVersion, n.Host, n.Domain, n.Incarnation
-	msg.TableVersion, msg.Revision = n.Lists.Versions()
+	msg.TableVersion, msg.Position = n.Lists.Versions()
 	reading := n.Lists.Reading()
 	n.mu.Lock()
 	n.sequence++
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -30,8 +30,10 @@
 	// StartedAt is when the upstream's process started. It changes when an
 	// upstream restarts under the same ID.
 	StartedAt time.Time
-	// Revision is the platform's revision of this entry. A higher one is newer.
-	Revision uint64
+	// Sequence counts the writes of the process to its entry.
+	Sequence int64
+	// Position is the place of this entry in the platform's changes.
+	Position Position
 }
 
 // ProcessKey identifies one run of an upstream's process among those of all upstreams. It is a
@@ -43,10 +45,9 @@
 	return ProcessKey(Hash("process", string(u.ID), u.StartedAt.UTC().Format(time.RFC3339Nano)) | 1)
 }
 
-// Upstreams is the list of all upstreams at one revision.
+// Upstreams is the list of all upstreams at one position in the platform's changes.
 type Upstreams struct {
-	// Revision is the platform's revision of the list.
-	Revision uint64
+	Position Position
 	// ByID is not modified once the list is published.
 	ByID map[plan.UpstreamID]*Upstream
 }
@@ -66,7 +67,7 @@
 	if len(changed) == 0 {
 		return u
 	}
-	out := &Upstreams{Revision: u.Revision, ByID: maps.Clone(u.ByID)}
+	out := &Upstreams{Position: u.Position, ByID: maps.Clone(u.ByID)}
 	maps.Copy(out.ByID, changed)
 	return out
 }
