Soak: let upstreams say that they are draining, and the store come back older

In one seed of two upstreams say in their answers that they are draining, two to four seconds before the store does; in one of four the store is away for a moment and comes back from a copy some seconds old, names the epoch in its answers, and gets written again what it has lost. The judge checks that no request which was sent over 2 s after its host had passed such an answer on reaches the upstream.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -52,7 +52,9 @@
 	// hasSeal reports whether the response carried the upstream's signature, which is
 	// the Response-Seal header.
 	hasSeal bool
-	body    string
+	// drainingUpstream is the upstream that said in the response that it is draining, or "".
+	drainingUpstream string
+	body             string
 	// complete reports whether the response was read to its end.
 	complete bool
 	// abandonedAt is when the caller closed the connection before the end of the
@@ -180,6 +182,9 @@
 		return g.recordError(r, abandonAfter, err)
 	}
 	r.status, r.hasSeal = response.StatusCode, response.Header.Get("Response-Seal") != ""
+	if response.Header.Get(drainingHeader) != "" {
+		r.drainingUpstream = response.Header.Get("Response-Seal")
+	}
 	raw, err := io.ReadAll(response.Body)
 	r.body = string(raw)
 	if err != nil {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -63,6 +63,7 @@
 	violations = append(violations, f.checkKeyRegression(runs)...)
 	violations = append(violations, f.checkPoison()...)
 	violations = append(violations, f.checkLimit()...)
+	violations = append(violations, f.checkDrains(runs)...)
 	return append(violations, f.checkRetryBudget(runs)...)
 }
 
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -47,14 +47,19 @@
 	u.limit.perSecond = perSecond
 }
 
-// limitHeader returns the header that names the upstream's rate, or "".
-func (u *fakeUpstream) limitHeader() string {
+// termsHeader returns the header fields in which the upstream names its rate and says that it is
+// draining, or "".
+func (u *fakeUpstream) termsHeader() string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.limit.perSecond == 0 {
-		return ""
+	fields := ""
+	if u.limit.perSecond > 0 {
+		fields = fmt.Sprintf("Server-Limit: %v\r\n", u.limit.perSecond)
+	}
+	if u.saysDraining {
+		fields += drainingHeader + ": 1\r\n"
 	}
-	return fmt.Sprintf("Server-Limit: %v\r\n", u.limit.perSecond)
+	return fields
 }
 
 // recordArrival records a request, also one that will be turned away.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,6 +120,12 @@
 		defer endLimit()
 		callers.Go(func() { f.limitUpstream(limitCtx, rand.New(rand.NewPCG(seed, 5))) })
 	}
+	if seed%drainSeeds == 0 {
+		callers.Go(func() { f.drainByAnswers(callersCtx, t, rand.New(rand.NewPCG(seed, 6))) })
+	}
+	if seed%restoreSeeds == 2 {
+		callers.Go(func() { f.restoreStore(callersCtx, rand.New(rand.NewPCG(seed, 7))) })
+	}
 	injector := &faultInjector{t: t, fleet: f, processLocks: make([]sync.Mutex, len(f.hosts))}
 	injector.run(ctx, rng, *faultSpan, 8+rng.IntN(10))
 	f.logf("all faults ended")
@@ -138,7 +144,7 @@
 		saveLogs(t, f, seed)
 	}
 	t.Logf("%d hosts, all ready %v after the last start, %d requests, %d runs, %d complete responses%s",
-		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary+f.limitSummary)
+		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary+f.limitSummary+f.drainSummary)
 }
 
 // completedCount returns the number of requests with a complete successful response.
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -19,6 +19,12 @@
 	Deleted  bool   `json:"deleted,omitempty"`
 }
 
+// storeWrite is a change and when it was acknowledged.
+type storeWrite struct {
+	entry storeEntry
+	at    time.Time
+}
+
 // fakeStore is an in-memory stand-in for the platform's key-value store. It serves a
 // paged range read over all entries, and long-polling watches.
 type fakeStore struct {
@@ -28,6 +34,10 @@
 	history  []storeEntry
 	// compactedRevision is the revision up to which the history was discarded.
 	compactedRevision uint64
+	// epoch is named in all answers. It rises with each restore.
+	epoch uint64
+	// writes holds all changes of the present contents, for restore.
+	writes []storeWrite
 	// changed is closed and replaced on every change of entries, history or faults.
 	changed chan struct{}
 	// watchesStalled holds back events from watches; unavailable answers every call
@@ -38,7 +48,7 @@
 
 // newFakeStore starts an empty store on a loopback address.
 func newFakeStore() *fakeStore {
-	s := &fakeStore{entries: map[string]storeEntry{}, changed: make(chan struct{})}
+	s := &fakeStore{entries: map[string]storeEntry{}, epoch: 1, changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
@@ -64,10 +74,51 @@
 		delete(s.entries, key)
 	}
 	s.history = append(s.history, e)
+	s.writes = append(s.writes, storeWrite{e, time.Now()})
 	s.notifyWatches()
 	return time.Now()
 }
 
+// restore puts the store back to what it held some time ago, without history. It returns the
+// entries that were lost or are different there, with a nil value where there was none.
+func (s *fakeStore) restore(age time.Duration) map[string]json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.entries
+	s.entries, s.revision = map[string]storeEntry{}, 0
+	kept := 0
+	for kept < len(s.writes) && time.Since(s.writes[kept].at) >= age {
+		e := s.writes[kept].entry
+		s.entries[e.Key] = e
+		if e.Deleted {
+			delete(s.entries, e.Key)
+		}
+		s.revision = e.Revision
+		kept++
+	}
+	s.writes = s.writes[:kept]
+	s.epoch++
+	s.compactedRevision, s.history = s.revision, nil
+	s.notifyWatches()
+	lost := map[string]json.RawMessage{}
+	for key, e := range before {
+		if s.entries[key].Revision != e.Revision {
+			lost[key] = e.Value
+		}
+	}
+	for key := range s.entries {
+		if _, ok := before[key]; !ok {
+			lost[key] = nil
+		}
+	}
+	return lost
+}
+
+// nameEpoch names the epoch of an answer.
+func nameEpoch(w http.ResponseWriter, epoch uint64) {
+	w.Header().Set("Store-Era", strconv.FormatUint(epoch, 10))
+}
+
 // notifyWatches wakes all waiting watches. The caller holds s.mu.
 func (s *fakeStore) notifyWatches() {
 	close(s.changed)
@@ -95,6 +146,7 @@
 func (s *fakeStore) rejectIfUnavailable(w http.ResponseWriter) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	nameEpoch(w, s.epoch)
 	if s.unavailable {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -109,6 +161,7 @@
 	const maxPageEntries = 4 // small, so that every range read takes several pages
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	nameEpoch(w, s.epoch)
 	after := r.FormValue("after")
 	var page []storeEntry
 	for _, e := range s.entries {
@@ -132,7 +185,9 @@
 	timer := time.After(time.Duration(waitMs) * time.Millisecond)
 	for expired := false; ; {
 		s.mu.Lock()
-		compacted, stalled, changed, asOf := after < s.compactedRevision, s.watchesStalled, s.changed, s.revision
+		gone := after < s.compactedRevision || after > s.revision
+		stalled, changed, asOf := s.watchesStalled, s.changed, s.revision
+		nameEpoch(w, s.epoch)
 		var events []storeEntry
 		for _, e := range s.history {
 			if e.Revision > after && !stalled {
@@ -141,7 +196,7 @@
 		}
 		s.mu.Unlock()
 		switch {
-		case compacted:
+		case gone:
 			w.WriteHeader(http.StatusGone)
 			return
 		case expired && stalled:
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -83,6 +83,8 @@
 	// crashed is set from the end of the process to its next start.
 	crashed bool
 	limit   namedLimit
+	// saysDraining is set while its answers say that it is draining.
+	saysDraining bool
 }
 
 const (
@@ -179,7 +181,7 @@
 		if expectedInstance != u.id {
 			status = http.StatusMisdirectedRequest
 		}
-		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id, u.limitHeader())
+		fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nRequest-Id: %s\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", status, id, u.termsHeader())
 		return true
 	}
 	run := &upstreamRun{
@@ -200,7 +202,7 @@
 		_, _ = conn.Read(make([]byte, 1))
 		return false
 	case mode == modeFailing && oddRequest:
-		fmt.Fprintf(conn, "HTTP/1.1 500 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: 0\r\n\r\n", id, u.limitHeader(), u.id)
+		fmt.Fprintf(conn, "HTTP/1.1 500 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: 0\r\n\r\n", id, u.termsHeader(), u.id)
 		return true
 	case strings.HasPrefix(r.URL.Path, "/letter/"), strings.HasPrefix(r.URL.Path, "/draft/"):
 		return u.serveStream(conn, r, id, mode == modeTruncating && oddRequest)
@@ -208,10 +210,10 @@
 	time.Sleep(rand.N(maxWorkTime))
 	response := responseBody(id)
 	if mode == modeTruncating && oddRequest {
-		fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.limitHeader(), u.id, len(response), response[:len(response)/2])
+		fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.termsHeader(), u.id, len(response), response[:len(response)/2])
 		return false
 	}
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.limitHeader(), u.id, len(response), response)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.termsHeader(), u.id, len(response), response)
 	return err == nil
 }
 
@@ -237,7 +239,7 @@
 }
 
 func (u *fakeUpstream) writeStreamHead(conn net.Conn, requestID string) {
-	fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", requestID, u.limitHeader(), u.id)
+	fmt.Fprintf(conn, "HTTP/1.1 200 X\r\nRequest-Id: %s\r\n%sResponse-Seal: %s\r\nTransfer-Encoding: chunked\r\n\r\n", requestID, u.termsHeader(), u.id)
 }
 
 // responseBody returns the complete response body of a request without a stream.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -53,6 +53,8 @@
 	limited      *fakeUpstream
 	limitedRate  float64
 	limitSummary string
+	// drainSummary is the result of checkDrains in words.
+	drainSummary string
 	// eventLog holds timestamped lines that are printed if the run fails.
 	eventLog  []string
 	startedAt time.Time
