Resume a stream only with events that follow it

Errors, refusals, unsigned answers and those to other requests were not passed on before either.

A stream of which the caller has a part is resumed only while its route is a resumable stream, and only with events whose IDs follow.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -198,7 +198,8 @@
 var errUpstreamDraining = errors.New("upstream is draining or was removed")
 
 // reroute matches the request again if there is a newer routing table. It returns
-// false if that table no longer allows the request.
+// false if that table no longer allows the request, or to resume a stream of which
+// the caller has a part.
 func (x *exchange) reroute() bool {
 	table := x.server.Table()
 	if table == x.table {
@@ -212,6 +213,9 @@
 	if table.NeedsKey(rt) && account == nil {
 		return false
 	}
+	if x.headerWritten && (rt.Kind != route.Stream || !rt.Resumable) {
+		return false
+	}
 	x.table, x.route, x.account = table, rt, account
 	if !rt.Allows(x.service) {
 		x.service = rt.PickService(route.UnitFraction(route.Hash(string(x.request.ID))))
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -10,7 +10,8 @@
 	"mulberrydyke/link"
 )
 
-// errEventOrder reports a stream whose event IDs do not increase.
+// errEventOrder reports a stream whose event IDs do not increase, or a resumed one
+// that has events without.
 var errEventOrder = errors.New("events out of order")
 
 // relayStream relays a stream event by event. A stream that is interrupted may
@@ -18,13 +19,14 @@
 // any event counts as interrupted.
 func (x *exchange) relayStream(ctx context.Context, lease *dispatch.Lease, upstreamEx *link.Exchange) attemptResult {
 	events := newEventReader(upstreamEx.Body())
+	resumed := x.headerWritten
 	for first := true; ; first = false {
 		e, err := events.next()
 		if err == io.EOF && !first {
 			x.finishStream(ctx, lease, upstreamEx)
 			return attemptFinal
 		}
-		if err == nil && e.hasNumber && x.lastEventID != "" && e.number <= x.lastEventNumber {
+		if err == nil && !x.follows(e, resumed) {
 			err = errEventOrder
 		}
 		if err != nil {
@@ -47,6 +49,15 @@
 	}
 }
 
+// follows reports whether an event may follow those that the caller has. In a
+// resumed stream only its ID can show that.
+func (x *exchange) follows(e event, resumed bool) bool {
+	if !e.hasNumber {
+		return !resumed
+	}
+	return x.lastEventID == "" || e.number > x.lastEventNumber
+}
+
 // afterInterruption handles a stream that was interrupted. Once events were
 // written to the caller, the stream is retried only if the route is resumable,
 // there is an event ID to resume from, and ctx has not ended; otherwise the
