Take no answer without an ID for that of a request on a kept connection

With the ID of the earlier request it was skipped here already; without one it counted as the answer: a request that must not run twice and was running was sent elsewhere (TWICE), or its caller would be told that it did not run (REFUSED).

A response without an ID counts only on a connection that had no other response. On a kept one the request may have run, and the connection is closed.

--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -194,6 +194,14 @@
 	f.pools.Prune(upstreams)
 }
 
+// list adds a stub to the listed upstreams.
+func (f *fixture) list(u *stub) {
+	f.mu.Lock()
+	f.upstreams.ByID[u.id] = &route.Upstream{ID: u.id, Service: "pool", Address: u.listener.Addr().String(), Domain: "a", Slots: 4}
+	f.mu.Unlock()
+	f.balancer.SetUpstreams(time.Now(), f.upstreams)
+}
+
 // draining reports whether the listed process of a stub has said that it is draining.
 func (f *fixture) draining(u *stub) bool {
 	f.mu.Lock()
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -49,6 +49,10 @@
 // errStray reports that none of the responses read belongs to the request.
 var errStray = errors.New("response belongs to another request")
 
+// errUnidentified reports a response that names no request, on a connection that had others.
+// It may be an earlier one, written once more.
+var errUnidentified = errors.New("response without an ID on a kept connection")
+
 // Exchange is one request and its response over one connection.
 type Exchange struct {
 	conn *Conn
@@ -140,7 +144,8 @@
 }
 
 // readHead reads response headers until one belongs to the request. It skips 1xx
-// responses and responses to other requests.
+// responses and responses to other requests. One that names no request is accepted
+// only on a connection that had no other.
 func (x *Exchange) readHead(d call.Dialect, r *call.Request) error {
 	for range maxStrayResponses {
 		x.conn.limited.limit(maxHeadBytes)
@@ -153,10 +158,13 @@
 		}
 		x.conn.limited.unlimit()
 		head := d.ParseResponse(response)
-		if head.ID == "" || head.ID == r.ID {
+		if head.ID == r.ID || head.ID == "" && !x.conn.Reused {
 			x.Response, x.Head = response, head
 			return nil
 		}
+		if head.ID == "" {
+			return errUnidentified
+		}
 		if _, err := io.CopyN(io.Discard, response.Body, maxStrayBodyBytes); err != io.EOF {
 			return errStray
 		}
