Let schedulers grant nothing on an upstream that says it is draining

The flag goes the way of rate limits and times to come back now, with the process that said so; a load report of another process ends it, or a minute where upstreams report none.

--- a/host/duties.go
+++ b/host/duties.go
@@ -267,7 +267,7 @@
 	if err != nil {
 		return
 	}
-	h.local.Send(id, &pool.LoadReported{Upstream: u, Memory: load.KVCacheUsage, Age: load.Age()})
+	h.local.Send(id, &pool.LoadReported{Upstream: u, Memory: load.KVCacheUsage, Age: load.Age(), Instance: client.Instance()})
 }
 
 // runReconciliation periodically compares the schedulers' records with what the
--- a/placement/client.go
+++ b/placement/client.go
@@ -239,6 +239,7 @@
 	now := time.Now()
 	l.report(&pool.TermsStated{
 		Upstream: l.upstream, Rate: t.RateLimit.Rate, RateUnknown: t.RateLimit.Unusable, RetryAfter: t.RetryAfter,
+		Draining: t.Drain.Draining, Instance: t.Instance,
 		SentAge: max(0, now.Sub(t.SentAt)), HeardAge: max(0, now.Sub(heardAt)),
 	})
 }
--- a/pool/event.go
+++ b/pool/event.go
@@ -149,6 +149,9 @@
 		SentAge, HeardAge time.Duration
 		// RetryAfter is the time after which it takes requests again, or zero.
 		RetryAfter time.Duration
+		// Draining is set if it said that it is draining, and Instance is the process that did.
+		Draining bool
+		Instance Instance
 	}
 	// LoadReported carries an upstream's own report of its load, which lags
 	// behind the scheduler's counts.
@@ -158,6 +161,8 @@
 		Memory float64
 		// Age is the age of the report.
 		Age time.Duration
+		// Instance is the process that made it, or "" if it is not known.
+		Instance Instance
 	}
 	// Reconfigured replaces the upstreams and floors of the pool.
 	Reconfigured struct {
--- a/pool/scheduler.go
+++ b/pool/scheduler.go
@@ -320,6 +320,7 @@
 		return
 	}
 	b.memoryUsed, b.memoryMeasuredAt = e.Memory, measuredAt
+	b.terms.observe(e.Instance)
 }
 
 // handleHostGone removes all requests and runs of one incarnation of an entry
--- a/pool/terms_test.go
+++ b/pool/terms_test.go
@@ -84,3 +84,37 @@
 		t.Error("no grants afterwards")
 	}
 }
+
+// TestSchedulerGrantsNothingOnADrainingUpstream guards against schedulers that grant runs on an
+// upstream which has said to any host that it is draining, and against ones that leave out its
+// next process.
+func TestSchedulerGrantsNothingOnADrainingUpstream(t *testing.T) {
+	s := newTestScheduler(1)
+	only := testUpstream(0, plan.Live).ID
+	s.Update(start, &TermsStated{Upstream: only, Draining: true, Instance: "p1"})
+	now := start.Add(time.Second)
+	s.Update(now, &LoadReported{Upstream: only, Instance: "p1"})
+	if n := grantsOver(s, now, 2*maxUnreportedDrain, 1)[only]; n != 0 {
+		t.Errorf("%d grants while the upstream drains", n)
+	}
+	now = now.Add(2 * maxUnreportedDrain)
+	granted := map[plan.UpstreamID]int{}
+	endGranted(s, now, append([]Command(nil), s.Update(now, &LoadReported{Upstream: only, Instance: "p2"})...), granted)
+	if granted[only] == 0 {
+		t.Error("no grants after a restart")
+	}
+}
+
+// TestDrainOfAnUpstreamWithoutReportsEnds guards against an upstream that is left out for good
+// because nothing tells that it has restarted.
+func TestDrainOfAnUpstreamWithoutReportsEnds(t *testing.T) {
+	s := newTestScheduler(1)
+	only := testUpstream(0, plan.Live).ID
+	s.Update(start, &TermsStated{Upstream: only, Draining: true})
+	if n := grantsOver(s, start, maxUnreportedDrain-time.Second, 1)[only]; n != 0 {
+		t.Errorf("%d grants while the upstream drains", n)
+	}
+	if n := grantsOver(s, start.Add(maxUnreportedDrain), time.Second, 10_000)[only]; n == 0 {
+		t.Error("no grants afterwards")
+	}
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -230,6 +230,9 @@
 	if problem := t.RateLimit.Problem; problem != nil {
 		a.runner.log.Warn("malformed rate limit", "upstream", string(lease.Upstream()), "ignored", t.RateLimit.Unusable, "cause", problem)
 	}
+	if problem := t.Drain.Problem; problem != nil {
+		a.runner.log.Warn("malformed draining flag", "upstream", string(lease.Upstream()), "cause", problem)
+	}
 	lease.ReportTerms(time.Now(), t)
 }
 
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -241,3 +241,20 @@
 		t.Errorf("the upstream got %d requests in 3 s, want about 7", n)
 	}
 }
+
+// TestDrainingReachesTheScheduler guards against schedulers that grant runs on an upstream which
+// has told the host of a job that it is draining.
+func TestDrainingReachesTheScheduler(t *testing.T) {
+	r, counts := newTestRunner(t, []string{"d1"}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(upstream.DrainingHeader, "1")
+		answerRequest(w, r)
+	})
+	for range 4 {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		_, _ = r.Run(ctx, testJob(true), time.Now(), nil, ticket.NewAnswer())
+		cancel()
+	}
+	if n := counts[0].Load(); n != 1 {
+		t.Errorf("the upstream got %d requests, want 1", n)
+	}
+}
