Test rolling releases in which only answers tell that upstreams are draining

All three upstreams of a service are replaced one after the other through six hosts, with requests that must not run twice: none is lost or refused, and none reaches a draining upstream over 2 s after its host passed that on. If all drain at once, requests are refused until another one is listed, and served then.

--- a/edge/drain_test.go
+++ b/edge/drain_test.go
@@ -41,7 +41,7 @@
 	u.mu.Unlock()
 	time.Sleep(10 * time.Millisecond)
 	w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-	w.Header().Set("Response-Seal", "s")
+	w.Header().Set("Response-Seal", u.address())
 	if u.draining.Load() {
 		w.Header().Set("Server-Leaving", "1")
 	}
@@ -55,10 +55,13 @@
 type drainCaller struct {
 	mu       sync.Mutex
 	sent     map[string]sentRequest
-	passedOn map[string]time.Time
+	passedOn map[passing]time.Time
 	failed   int
 }
 
+// passing names a host and an upstream of whose draining it has passed on.
+type passing struct{ url, upstream string }
+
 // sentRequest is a request of a caller.
 type sentRequest struct {
 	url string
@@ -66,7 +69,7 @@
 }
 
 func newDrainCaller() *drainCaller {
-	return &drainCaller{sent: map[string]sentRequest{}, passedOn: map[string]time.Time{}}
+	return &drainCaller{sent: map[string]sentRequest{}, passedOn: map[passing]time.Time{}}
 }
 
 // run sends requests to random hosts at a rate for a while.
@@ -97,8 +100,9 @@
 		return
 	}
 	_ = response.Body.Close()
-	if response.Header.Get("Server-Leaving") != "" && c.passedOn[url].IsZero() {
-		c.passedOn[url] = time.Now()
+	p := passing{url, response.Header.Get("Response-Seal")}
+	if response.Header.Get("Server-Leaving") != "" && c.passedOn[p].IsZero() {
+		c.passedOn[p] = time.Now()
 	}
 }
 
@@ -112,7 +116,7 @@
 	var late []string
 	for _, id := range u.received {
 		r := c.sent[id]
-		if at, ok := c.passedOn[r.url]; ok && r.at.After(at.Add(drainBound)) {
+		if at, ok := c.passedOn[passing{r.url, u.address()}]; ok && r.at.After(at.Add(drainBound)) {
 			late = append(late, id)
 		}
 	}
