Tell all news of upstreams between hosts in one way, and split two files

Suspects, rate limits and draining upstreams were told by three copies of the same functions; package gossip has one loop over kinds of news now. What the reader reads and how a request ends stand in files of their own. No decision changes, but that a kind without news counts its rounds too.

--- a/gossip/drains_test.go
+++ b/gossip/drains_test.go
@@ -68,7 +68,9 @@
 			told := f.untilAllKnow(drainingKey(0), 10*time.Second)
 			f.run(2*time.Second, nil)
 			for range max(1, len(f.hosts)/6) {
-				f.hosts[f.random.IntN(len(f.hosts))].Drains = drain.NewTable(func() {})
+				h := f.hosts[f.random.IntN(len(f.hosts))]
+				h.Drains = drain.NewTable(func() {})
+				h.news = newsOf(h.Options)
 			}
 			restarted := f.untilAllKnow(drainingKey(0), 10*time.Second)
 			t.Logf("all hosts were told after %v, restarted ones after %v, %d bytes/s of a host meanwhile", told, restarted,
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -41,10 +41,9 @@
 	// offset is when in each interval the host sends.
 	offset    time.Duration
 	sentBytes int
-	// lastUpdates, lastLimits and lastDrains are when the host last told new suspects, changed
-	// rate limits and draining upstreams at once.
-	lastUpdates, lastLimits, lastDrains time.Time
-	startedAt                           time.Time
+	// lastUpdates holds when the host last told each kind of news at once.
+	lastUpdates map[int]time.Time
+	startedAt   time.Time
 	// cutFrom, if set, reports which hosts are out of reach.
 	cutFrom func(*simHost) bool
 }
@@ -124,7 +123,7 @@
 
 func (f *simFleet) addHost(a netip.Addr, d plan.DomainID, seeds []netip.AddrPort, list *route.Upstreams) {
 	id := plan.HostID("host-" + a.String())
-	h := &simHost{lists: &simLists{table: 1, position: route.Position{Revision: 1}}, startedAt: f.now, offset: time.Duration(f.random.Int64N(int64(Interval/simStep))) * simStep}
+	h := &simHost{lists: &simLists{table: 1, position: route.Position{Revision: 1}}, startedAt: f.now, lastUpdates: map[int]time.Time{}, offset: time.Duration(f.random.Int64N(int64(Interval/simStep))) * simStep}
 	balancer := dispatch.NewBalancer(id, d, time.Second)
 	balancer.SetUpstreams(f.now, list)
 	h.Node = newNode(Options{
@@ -222,20 +221,16 @@
 	if h.down {
 		return
 	}
-	f.runUpdate(h.Quarantine.Changed(), &h.lastUpdates, h.sendSuspectUpdates)
-	f.runUpdate(h.Limiter.Changed(), &h.lastLimits, h.sendLimitUpdates)
-	f.runUpdate(h.Drains.Changed(), &h.lastDrains, h.sendDrainUpdates)
-}
-
-func (f *simFleet) runUpdate(changed <-chan struct{}, last *time.Time, send func(time.Time)) {
-	if f.now.Sub(*last) < updateInterval {
-		return
-	}
-	select {
-	case <-changed:
-		*last = f.now
-		send(f.now)
-	default:
+	for i, x := range h.news {
+		if f.now.Sub(h.lastUpdates[i]) < updateInterval {
+			continue
+		}
+		select {
+		case <-x.changed():
+			h.lastUpdates[i] = f.now
+			h.sendUpdates(f.now, x)
+		default:
+		}
 	}
 }
 
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -111,12 +111,10 @@
 	// progress.
 	lastFetch time.Time
 	fetching  bool
-	// suspectRounds counts the calls of tellSuspects.
-	suspectRounds int
-	// limitRounds counts the calls of tellLimits that had something to tell.
-	limitRounds int
-	// drainRounds counts the calls of tellDrains.
-	drainRounds int
+	// news holds all kinds of news. It does not change.
+	news []news
+	// newsRounds counts the calls of tell.
+	newsRounds int
 	// leaving is set while the host stops.
 	leaving bool
 	// pendingAsks holds the asks for permits that are not answered, by their number.
@@ -145,11 +143,22 @@
 // newNode returns a node without sockets.
 func newNode(o Options) *Node {
 	n := &Node{Options: o, members: NewMembers(o.Now(), o.IP, o.Host, o.Domain, o.Seeds), catchUpSignal: make(chan struct{}, 1)}
+	n.news = newsOf(o)
 	n.pendingAsks, n.awaitDecision = map[uint64]*pendingAsk{}, waitForDecision
 	n.group = n.members.Group()
 	return n
 }
 
+// Leave tells the other hosts that this one stops, so that others give out the permits that
+// it gave out.
+func (n *Node) Leave() {
+	n.mu.Lock()
+	n.leaving = true
+	n.mu.Unlock()
+	n.Limiter.Holders.Leave()
+	n.send(n.Now(), true)
+}
+
 // writeDatagram sends a datagram through the node's socket.
 func (n *Node) writeDatagram(raw []byte, to netip.Addr) {
 	if _, err := n.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(to, n.DatagramPort)); err != nil {
@@ -215,9 +224,9 @@
 	defer startTicker.Stop()
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
-	tasks.Go(func() { n.runUpdates(ctx, n.Quarantine.Changed(), n.sendSuspectUpdates) })
-	tasks.Go(func() { n.runUpdates(ctx, n.Limiter.Changed(), n.sendLimitUpdates) })
-	tasks.Go(func() { n.runUpdates(ctx, n.Drains.Changed(), n.sendDrainUpdates) })
+	for _, x := range n.news {
+		tasks.Go(func() { n.runUpdates(ctx, x) })
+	}
 	n.send(n.Now(), false)
 	for {
 		select {
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"mulberrydyke/quarantine"
 )
 
 // Receive handles incoming messages until the socket is closed.
@@ -23,6 +25,15 @@
 	}
 }
 
+// keysOf returns the keys of suspects, for the log.
+func keysOf(suspects []quarantine.Suspect) []uint64 {
+	out := make([]uint64, 0, len(suspects))
+	for _, s := range suspects {
+		out = append(out, uint64(s.Key))
+	}
+	return out
+}
+
 func (n *Node) handleMessage(from netip.Addr, msg *Message) {
 	if msg.Kind == KindPermitAsk || msg.Kind == KindPermitDecision {
 		n.handlePermitMessage(from, msg)
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -29,9 +29,7 @@
 	n.Balancer.SetSources(now, view.role >= RoleSpeaker, view.role == RoleReporter)
 	n.sendReport(now, targets.Group, Message{Kind: KindHost, Report: n.Balancer.Report(now)})
 	n.sendToGroups(now, targets)
-	n.tellSuspects(now, targets.Group)
-	n.tellLimits(now, targets.Group)
-	n.tellDrains(now, targets.Group)
+	n.tell(now, targets.Group)
 	if len(targets.Domains) > 0 {
 		report, hosts := n.Balancer.DomainReport(now)
 		n.sendReport(now, targets.Domains, Message{Kind: KindDomain, Hosts: hosts, Report: report})
