Read a list anew where an index may have been given out again

A list under the same index was never read (the test failed: no list). An index counts only at the address that named it, and only until that fails.

--- a/registry/registry.go
+++ b/registry/registry.go
@@ -85,21 +85,22 @@
 // Read returns the current revision of a list. It returns a ReadError if no
 // address provides one.
 func (c *Client) Read(ctx context.Context, kind plan.ListKind) (Value, error) {
-	return c.get(ctx, kind, 0, 0)
+	v, _, err := c.get(ctx, kind, cursor{}, 0)
+	return v, err
 }
 
 // Watch sends each new revision of a list to values until ctx is done. If every
 // address fails, Watch calls onError and retries after a delay.
 func (c *Client) Watch(ctx context.Context, kind plan.ListKind, values chan<- Value, onError func(error)) {
-	var index uint64
+	var known cursor
 	for ctx.Err() == nil {
-		v, err := c.get(ctx, kind, index, watchWait)
+		v, next, err := c.get(ctx, kind, known, watchWait)
+		known = next
 		if err != nil {
 			onError(err)
 			clock.Sleep(ctx, retryDelay)
 			continue
 		}
-		index = v.Index
 		if v.Raw == nil {
 			continue
 		}
@@ -110,17 +111,29 @@
 	}
 }
 
-// get requests a list from each address in turn until one request succeeds. It
-// returns the last error if all fail.
-func (c *Client) get(ctx context.Context, kind plan.ListKind, index uint64, wait time.Duration) (Value, error) {
+// cursor is the last revision that an address has served since it last failed. An index says
+// nothing at another address, or after the service has come back from an older copy.
+type cursor struct {
+	address int
+	// index is zero if nothing is known.
+	index uint64
+}
+
+// get requests a list from each address in turn until one request succeeds, and returns the
+// cursor for the next call. It returns the last error if all fail.
+func (c *Client) get(ctx context.Context, kind plan.ListKind, known cursor, wait time.Duration) (Value, cursor, error) {
 	var err error
 	for i, address := range c.addresses {
+		index := uint64(0)
+		if i == known.address {
+			index = known.index
+		}
 		var v Value
 		if v, err = c.getFrom(ctx, i, address, kind, index, wait); err == nil {
-			return v, nil
+			return v, cursor{address: i, index: v.Index}, nil
 		}
 	}
-	return Value{}, err
+	return Value{}, cursor{}, err
 }
 
 func (c *Client) getFrom(ctx context.Context, i int, address string, kind plan.ListKind, index uint64, wait time.Duration) (Value, error) {
--- a/registry/registry_test.go
+++ b/registry/registry_test.go
@@ -96,3 +96,57 @@
 		t.Errorf("got %q, %v", v.Raw, err)
 	}
 }
+
+// TestWatchReadsAgainAfterAFailure guards against a watch that misses a list because the service
+// came back from an older copy and has given out its index again, or because another service has
+// another list under the same index.
+func TestWatchReadsAgainAfterAFailure(t *testing.T) {
+	const index = 5
+	var failing atomic.Bool
+	serve := func(list string) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(IndexHeader, "5")
+			if r.FormValue("index") == "5" {
+				time.Sleep(5 * time.Millisecond)
+				w.WriteHeader(http.StatusNotModified)
+				return
+			}
+			_, _ = w.Write([]byte(list))
+		}
+	}
+	var value atomic.Value
+	value.Store("old")
+	first := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if failing.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		serve(value.Load().(string))(w, r)
+	}))
+	defer first.Close()
+	second := httptest.NewServer(serve("elsewhere"))
+	defer second.Close()
+	client, cleanup := NewClient([]string{first.Listener.Addr().String(), second.Listener.Addr().String()})
+	defer cleanup()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	values := make(chan Value, 8)
+	go client.Watch(ctx, plan.KindPlans, values, func(error) {})
+	want := func(list string) {
+		t.Helper()
+		select {
+		case v := <-values:
+			if string(v.Raw) != list || v.Index != index {
+				t.Errorf("%q with index %d, want %q with %d", v.Raw, v.Index, list, index)
+			}
+		case <-time.After(5 * time.Second):
+			t.Errorf("no list, want %q", list)
+		}
+	}
+	want("old")
+	failing.Store(true)
+	want("elsewhere")
+	value.Store("new")
+	failing.Store(false)
+	want("new")
+}
