Remember that a removed process was draining past an odd entry

An entry that can't be decoded replaced what was known of the process that was removed before it, so a later entry of that process was taken for ready (found by reading; the test failed with a: ready).

--- a/catalog/departures.go
+++ b/catalog/departures.go
@@ -50,10 +50,11 @@
 	return departures{byID: map[plan.UpstreamID]departure{}, held: map[plan.UpstreamID]heldEntry{}}
 }
 
-// add records that an upstream was removed, whose last entry is nil if it had none
-// that could be decoded.
+// add records that an upstream was removed, whose last entry is nil if it was not in
+// use.
 func (d *departures) add(now time.Time, id plan.UpstreamID, last *route.Upstream, epoch route.Epoch, revision uint64) {
-	x := departure{epoch: epoch, revision: revision, at: now}
+	x := d.byID[id]
+	x.epoch, x.revision, x.at = epoch, revision, now
 	if last != nil {
 		x.process, x.sequence, x.draining = last.ProcessKey(), last.Sequence, last.State == route.Draining
 	}
--- a/catalog/epoch_test.go
+++ b/catalog/epoch_test.go
@@ -94,6 +94,19 @@
 	}
 }
 
+// TestOddEntryDoesNotHideThatAProcessWasDraining guards against a draining process that comes back
+// to use after another writer left an odd entry under its ID.
+func TestOddEntryDoesNotHideThatAProcessWasDraining(t *testing.T) {
+	c := New(testDecoder{})
+	apply(c, start, sequencedItem("a", 1, "draining", 1, 5))
+	apply(c, start, removedItem("a", 2))
+	apply(c, start, Entry{ID: "a", Value: []byte("noise"), Revision: 3})
+	apply(c, start, sequencedItem("a", 4, "ready", 1, 6))
+	if diff := cmp.Diff(map[plan.UpstreamID]route.State{"a": route.Draining}, upstreamStates(c)); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // TestUpstreamThatJoinedBeforeTheReturnLeavesAfterItsGracePeriod guards against an upstream that
 // stays in use though it has not written its entry again.
 func TestUpstreamThatJoinedBeforeTheReturnLeavesAfterItsGracePeriod(t *testing.T) {
