--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -44,11 +44,11 @@
 	Table plan.Version
 }
 
-// snapshotVersion tells which snapshot a host sends: what it has itself, and what
-// the other host has.
-type snapshotVersion struct {
-	sinceTable, table plan.Version
-	since, position   route.Position
+// listsVersion tells which lists a host has: the version of its routing table, and
+// its position in the changes of the platform's store.
+type listsVersion struct {
+	table    plan.Version
+	position route.Position
 }
 
 // FetchReply holds a compressed snapshot of a host's lists.
@@ -58,19 +58,19 @@
 type listsService struct {
 	lists Lists
 	mu    sync.Mutex
-	// version and compressed cache the last reply. When the lists change, all
-	// hosts of a domain send the same request.
-	version    snapshotVersion
+	// compressed is the last reply, which took a host from one version to the
+	// other. When the lists change, all hosts of a domain send the same request.
 	compressed []byte
+	from, to   listsVersion
 }
 
 // Fetch returns a compressed snapshot of this host's lists.
 func (s *listsService) Fetch(in FetchRequest, out *FetchReply) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	version := snapshotVersion{sinceTable: in.Table, since: in.Since}
-	version.table, version.position = s.lists.Versions()
-	if s.compressed == nil || s.version != version {
+	from, to := listsVersion{in.Table, in.Since}, listsVersion{}
+	to.table, to.position = s.lists.Versions()
+	if s.compressed == nil || s.from != from || s.to != to {
 		raw, err := s.lists.Snapshot(in.Since, in.Table)
 		if err != nil {
 			return err
@@ -78,7 +78,7 @@
 		if s.compressed, err = compress(raw); err != nil {
 			return err
 		}
-		s.version = version
+		s.from, s.to = from, to
 	}
 	out.Snapshot = s.compressed
 	return nil
@@ -156,7 +156,7 @@
 
 // fetch fetches a peer's lists, after beginFetch, and merges them into this host's
 // lists.
-func (n *Node) fetch(peer netip.Addr, before have) {
+func (n *Node) fetch(peer netip.Addr, before listsVersion) {
 	defer func() {
 		n.mu.Lock()
 		n.fetching = false
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -256,12 +256,6 @@
 	return settled
 }
 
-// have is what a host has of the lists.
-type have struct {
-	table    plan.Version
-	position route.Position
-}
-
 // catchUp fetches the lists of a peer that has newer ones.
 func (n *Node) catchUp() {
 	if peer, before, ok := n.beginFetch(n.Now()); ok {
@@ -272,7 +266,7 @@
 // beginFetch returns the peer to fetch lists from now, and what this host has before
 // that. It returns false if there is none, or if a fetch is in progress. A host that
 // reads the store itself first waits for fetchDelay.
-func (n *Node) beginFetch(now time.Time) (peer netip.Addr, before have, ok bool) {
+func (n *Node) beginFetch(now time.Time) (peer netip.Addr, before listsVersion, ok bool) {
 	before.table, before.position = n.Lists.Versions()
 	reading := n.Lists.Reading()
 	n.mu.Lock()
