--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -106,11 +106,6 @@
 // Changes reports which views an update changed.
 type Changes struct{ Table, Upstreams bool }
 
-// Union returns the changes of both.
-func (c Changes) Union(d Changes) Changes {
-	return Changes{Table: c.Table || d.Table, Upstreams: c.Upstreams || d.Upstreams}
-}
-
 // RecordFailure records that a call to the store failed.
 func (c *Catalog) RecordFailure(now time.Time) { c.failedAt = now }
 
--- a/ratelimit/pause.go
+++ b/ratelimit/pause.go
@@ -130,6 +130,9 @@
 // after now if the host may send them now.
 func (l *Limiter) ReturnsAt(k route.ProcessKey) time.Time {
 	p := l.pauseOf(k)
+	if p.until.IsZero() {
+		return p.until
+	}
 	spread := min(maxReturnSpread, time.Duration(returnFraction*float64(p.length)))
 	fraction := route.UnitFraction(route.Hash(l.Holders.self.String(), strconv.FormatUint(uint64(k), 16)))
 	return p.until.Add(time.Duration(fraction * float64(spread)))
