Stand-ins: say that they drain, and come back from an older copy

The engine and the service say in their responses that they are draining when the fault is set, and the platform can be put back to a copy.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -51,6 +51,9 @@
 type EngineFaults struct {
 	// Refuse rejects every request with status 503 before it runs.
 	Refuse bool `json:"refuse"`
+	// Draining makes the engine say in its responses that it is draining. It goes on
+	// running what it gets.
+	Draining bool `json:"draining"`
 	// Hang stops all progress but keeps connections open.
 	Hang bool `json:"silent"`
 	// ResetAfterTokens resets the connection of every new stream after this many
--- a/standin/enginehttp.go
+++ b/standin/enginehttp.go
@@ -11,6 +11,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
+	"mulberrydyke/upstream"
 	"mulberrydyke/web"
 )
 
@@ -65,7 +66,7 @@
 	if !web.ReadJSON(w, r, &request) {
 		return
 	}
-	w.Header().Set("X-Instance", instance)
+	e.identify(w, instance)
 	if e.Faults().Refuse {
 		http.Error(w, "refused before running", http.StatusServiceUnavailable)
 		return
@@ -86,12 +87,26 @@
 	e.writeResponse(w, r, g, 0)
 }
 
+// identify sets the header fields in which the engine names its process and says whether it
+// is draining.
+func (e *Engine) identify(w http.ResponseWriter, instance string) {
+	w.Header().Set("X-Instance", instance)
+	setDraining(w, e.Faults().Draining)
+}
+
+// setDraining sets the header field in which a draining upstream says so.
+func setDraining(w http.ResponseWriter, draining bool) {
+	if draining {
+		w.Header().Set(upstream.DrainingHeader, "1")
+	}
+}
+
 // resume streams the response to an earlier request from a given token on.
 func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
 	if e.isDown(time.Now()) {
 		abort()
 	}
-	w.Header().Set("X-Instance", e.Instance())
+	e.identify(w, e.Instance())
 	g := e.find(pathvar.Vars(r)["id"])
 	if g == nil {
 		http.Error(w, "no such run", http.StatusNotFound)
@@ -179,7 +194,7 @@
 	if e.isDown(time.Now()) {
 		abort()
 	}
-	w.Header().Set("X-Instance", e.Instance())
+	e.identify(w, e.Instance())
 	web.WriteJSON(w, http.StatusOK, e.LoadReport(time.Now()))
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -71,6 +72,25 @@
 	p.notifyLocked()
 }
 
+// PlatformCopy is what a platform held at one time.
+type PlatformCopy struct{ values map[plan.ListKind]revision }
+
+// Copy returns what the platform holds now.
+func (p *Platform) Copy() PlatformCopy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PlatformCopy{values: maps.Clone(p.values)}
+}
+
+// Restore puts the platform back to a copy. Indexes that were used since then are given
+// out again.
+func (p *Platform) Restore(c PlatformCopy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.values, p.visible = maps.Clone(c.values), map[plan.ListKind]revision{}
+	p.notifyLocked()
+}
+
 // PublishList sets the value of a list to the JSON encoding of v.
 func (p *Platform) PublishList(kind plan.ListKind, v any) {
 	raw, err := json.Marshal(v)
--- a/standin/service.go
+++ b/standin/service.go
@@ -18,6 +18,9 @@
 	Delay plan.Duration `json:"delay"`
 	// Refuse rejects every call with status 503 before it runs.
 	Refuse bool `json:"refuse"`
+	// Draining makes the service say in its responses that it is draining. It goes on
+	// running what it gets.
+	Draining bool `json:"draining"`
 	// DisconnectAfterRun runs the call, then closes the connection without a
 	// response.
 	DisconnectAfterRun bool `json:"cut-after-run"`
@@ -68,6 +71,7 @@
 		return
 	}
 	faults := s.currentFaults()
+	setDraining(w, faults.Draining)
 	if faults.Refuse {
 		http.Error(w, "refused before running", http.StatusServiceUnavailable)
 		return
