Review case 1: a removal is lost by way of a restarted host (DRAIN)

A host that was started anew answers requests for the changes since an older position, but knows no removals from before its start. The host that asked keeps sending requests to a runner that is gone.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,5 @@
 # 0 if it held, 2 if the case couldn't run. With TROUBLE=0 it plays it without its disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-lab ] && [ -x target/entryhost ] || exit 2
-export REVIEW_CASE=upload REVIEW_RECORD="$PWD/review/1/record.txt"
+export REVIEW_CASE=removal REVIEW_RECORD="$PWD/review/1/record.txt"
 exec target/review-lab
--- a/review/lab/main_test.go
+++ b/review/lab/main_test.go
@@ -21,6 +21,7 @@
 
 // cases holds the scripts by name. Each returns an exit code.
 var cases = map[string]func(*record) (int, error){
+	"removal":  playRemoval,
 	"takeover": playTakeover,
 	"upload":   playUpload,
 }
--- a/review/lab/store_test.go
+++ b/review/lab/store_test.go
@@ -63,6 +63,18 @@
 	return time.Now(), nil
 }
 
+// remove removes an item and returns when that is acknowledged.
+func (s *store) remove(key string) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.items, key)
+	s.history = append(s.history, storeItem{Key: key, Revision: s.revision, Deleted: true})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return time.Now()
+}
+
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
