--- a/review/lab/main_test.go
+++ b/review/lab/main_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package lab holds the scripts of the review: stand-ins of the platform's store, of runners
 // and of clients, and the cases that use them. The test binary is a program: REVIEW_CASE names
 // the case that it plays. Without it there is nothing to run.
