Let no host answer for removals that it doesn't know of

Cause: a host that starts reads the store whole, so it knows which upstreams there are, and none that left before. The asking host advanced its position and never heard of the removal again. The log shows it: "lists fetched" with a newer revision and no "upstream gone" after it. The same holds for any full read that leaves a gap, for a host whose state comes from such a host, for a removal found by a full read (recorded as of the position before, which the asking host had too), for the removal of an upstream that this host never had (not recorded at all), and for removals that were forgotten because there were more than 4096 later ones.

Fix: the catalog keeps the revision from which on it knows all removals. A full read or a merged whole list sets it, a forgotten removal raises it. A host that asks for less than that gets the whole list, in which absence counts. Removals of unknown upstreams are recorded. "lists fetched" now logs the bytes.

TestMergeIgnoresSnapshotWithGap read the store at 9 and asked since 5, which is a whole list now.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -75,6 +75,10 @@
 	// epoch, as far as this host knows.
 	position     route.Position
 	epochBeganAt time.Time
+	// completeSince is the revision of this epoch from which on the catalog knows of
+	// all removals. Of earlier ones it knows only that the upstreams are not there,
+	// as after a full read. It is not after position.
+	completeSince uint64
 	// rejected holds the errors of entries that could not be decoded, until
 	// they are logged.
 	rejected []error
@@ -139,7 +143,7 @@
 		c.failedAt, c.recoveredAt = began, began
 	}
 	c.position, c.epochBeganAt = route.Position{Epoch: epoch}, began
-	c.tableRevision = 0
+	c.tableRevision, c.completeSince = 0, 0
 	clear(c.revisions)
 	for id, e := range c.entries {
 		e.Revision = 0
@@ -173,9 +177,13 @@
 }
 
 // replace applies the entries of all upstreams as of a revision of the present
-// epoch. It reports whether the upstreams changed.
+// epoch. It reports whether the upstreams changed. What came and left between the
+// last position and that revision remains unknown.
 func (c *Catalog) replace(now time.Time, entries []Entry, revision uint64) bool {
 	changed := false
+	if revision > c.position.Revision {
+		c.completeSince = revision
+	}
 	seen := make(map[plan.UpstreamID]bool, len(entries))
 	for _, e := range entries {
 		seen[e.ID] = true
@@ -183,6 +191,7 @@
 	}
 	for id := range c.upstreams {
 		if !seen[id] && c.revisions[id] <= revision {
+			c.revisions[id] = revision
 			changed = c.handleMissing(now, id) || changed
 		}
 	}
@@ -281,6 +290,7 @@
 func (c *Catalog) handleMissing(now time.Time, id plan.UpstreamID) bool {
 	c.departures.release(id)
 	if c.upstreams[id] == nil {
+		c.recordDeparture(now, id)
 		return false
 	}
 	deadline := c.graceDeadline(now)
@@ -294,9 +304,16 @@
 	return false
 }
 
+// recordDeparture remembers that an upstream is not there as of the newest revision
+// seen of it, also one that was not in use here: other hosts may have it.
+func (c *Catalog) recordDeparture(now time.Time, id plan.UpstreamID) {
+	forgotten := c.departures.add(now, id, c.upstreams[id], c.position.Epoch, max(c.position.Revision, c.revisions[id]))
+	c.completeSince = max(c.completeSince, forgotten)
+}
+
 // removeUpstream removes an upstream.
 func (c *Catalog) removeUpstream(now time.Time, id plan.UpstreamID) {
-	c.departures.add(now, id, c.upstreams[id], c.position.Epoch, max(c.position.Revision, c.revisions[id]))
+	c.recordDeparture(now, id)
 	delete(c.upstreams, id)
 	delete(c.graceDeadlines, id)
 	delete(c.entries, id)
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -213,7 +213,8 @@
 // local revision, and so would leave a gap, is ignored.
 func TestMergeIgnoresSnapshotWithGap(t *testing.T) {
 	reader, follower := New(testDecoder{}), New(testDecoder{})
-	read(reader, start, rev(9), serverItem("a", 2, "ready", 1))
+	read(reader, start, rev(5), serverItem("a", 2, "ready", 1))
+	reader.Advance(9)
 	follower.Merge(start, reader.SnapshotSince(start, rev(5), 0))
 	if follower.position.Revision != 0 {
 		t.Errorf("merged up to revision %d from a snapshot that starts at 5", follower.position.Revision)
--- a/catalog/departures.go
+++ b/catalog/departures.go
@@ -51,27 +51,31 @@
 }
 
 // add records that an upstream was removed, whose last entry is nil if it was not in
-// use.
-func (d *departures) add(now time.Time, id plan.UpstreamID, last *route.Upstream, epoch route.Epoch, revision uint64) {
+// use. It returns the revision of a removal that it forgot to make room, or zero.
+func (d *departures) add(now time.Time, id plan.UpstreamID, last *route.Upstream, epoch route.Epoch, revision uint64) (forgotten uint64) {
 	x := d.byID[id]
 	x.epoch, x.revision, x.at = epoch, revision, now
 	if last != nil {
 		x.process, x.sequence, x.draining = last.ProcessKey(), last.Sequence, last.State == route.Draining
 	}
-	if len(d.byID) >= maxDepartures {
-		d.removeOldest()
+	if _, known := d.byID[id]; !known && len(d.byID) >= maxDepartures {
+		forgotten = d.removeOldest()
 	}
 	d.byID[id] = x
+	return forgotten
 }
 
-func (d *departures) removeOldest() {
+// removeOldest forgets the oldest removal and returns its revision.
+func (d *departures) removeOldest() uint64 {
 	var oldest plan.UpstreamID
 	for id, x := range d.byID {
 		if oldest == "" || x.at.Before(d.byID[oldest].at) {
 			oldest = id
 		}
 	}
+	revision := d.byID[oldest].revision
 	d.remove(oldest)
+	return revision
 }
 
 // remove forgets an upstream, which is in use again.
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -39,17 +39,21 @@
 	Remaining time.Duration `json:"remaining"`
 }
 
-// SnapshotSince returns all changes after a position, or everything if the
-// position is zero or of another epoch, for a host that has a version of the
-// table.
+// SnapshotSince returns all changes after a position, for a host that has a version
+// of the table. The upstreams are all that exist if the position is zero or of an
+// earlier epoch, or if this host may not know of all removals since.
 func (c *Catalog) SnapshotSince(now time.Time, since route.Position, table plan.Version) Snapshot {
 	if since.Epoch < c.position.Epoch {
 		since = route.Position{}
 	}
-	s := Snapshot{AsOf: c.position, Since: since, TableAge: now.Sub(c.tableReadAt), EpochAge: now.Sub(c.epochBeganAt)}
+	s := Snapshot{AsOf: c.position, TableAge: now.Sub(c.tableReadAt), EpochAge: now.Sub(c.epochBeganAt)}
 	if c.table != nil && (c.table.Version > table || c.tableEntry.Position.After(since)) {
 		s.Table = &c.tableEntry
 	}
+	if c.completeAfter().After(since) {
+		since = route.Position{}
+	}
+	s.Since = since
 	if since.After(c.position) {
 		return s
 	}
@@ -70,6 +74,11 @@
 	return s
 }
 
+// completeAfter returns the first position after which this host knows of all changes.
+func (c *Catalog) completeAfter() route.Position {
+	return route.Position{Epoch: c.position.Epoch, Revision: c.completeSince}
+}
+
 // Merge applies another host's snapshot. A table counts by its version. The rest
 // of a snapshot is ignored if it is not newer than the local state, or if it
 // starts after the local position, which would leave a gap.
@@ -135,6 +144,7 @@
 	c.revisions[e.ID] = e.Revision
 	c.departures.release(e.ID)
 	if c.upstreams[e.ID] == nil {
+		c.recordDeparture(now, e.ID)
 		return false
 	}
 	c.removeUpstream(now, e.ID)
--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -172,7 +172,7 @@
 	}
 	table, position := n.Lists.Versions()
 	n.Log.Info("lists fetched", "peer", peer.String(), "table-before", uint64(before.table), "table", uint64(table),
-		"revision-before", before.position.Revision, "revision", position.Revision, "epoch", uint64(position.Epoch))
+		"revision-before", before.position.Revision, "revision", position.Revision, "epoch", uint64(position.Epoch), "bytes", len(raw))
 }
 
 // callFetch fetches a snapshot over a connection of its own.
