Let an upstream read a long body late

Cause: connections to upstreams have the kernel's user timeout, 800 ms. It is there for an upstream that is gone without a word, but the kernel also ends a connection whose other end acknowledges everything and keeps its window closed for so long.

Fix: while a long body waits for room at the upstream, the host itself watches what the kernel tells of the connection, with the user timeout switched off. It closes the connection if nothing is acknowledged for the same 800 ms: sent bytes, or two probes of the full window in a row. If the kernel sent no probe for so long, a new connection shows whether the upstream can be reached at all. A connection whose body still waits is not used again.

A connection that falls silent by itself, to an upstream that takes new ones, while its window is full, is found with the kernel's second probe, which can take some seconds. On a loopback no peer can be taken away without a word, so that part is shown by states of the connection only (TestAckWatch).

--- a/link/exchange.go
+++ b/link/exchange.go
@@ -66,6 +66,8 @@
 	bodyDone chan struct{}
 	// bodyErr is the write error of the body. It is valid once bodyDone is closed.
 	bodyErr error
+	// monitor watches a long body. It is nil for others.
+	monitor *bodyMonitor
 	ctx     context.Context
 }
 
@@ -82,26 +84,27 @@
 	x.cancelClose = context.AfterFunc(ctx, c.Close)
 	if err := x.write(r, header); err != nil {
 		x.Close()
-		return nil, &ExchangeError{Phase: "send", Err: x.contextCause(err)}
+		return nil, &ExchangeError{Phase: "send", Err: x.cause(err)}
 	}
 	if err := x.readHead(d, r); err != nil {
 		x.Close()
-		return nil, &ExchangeError{Phase: "head", Err: x.contextCause(err)}
+		return nil, &ExchangeError{Phase: "head", Err: x.cause(err)}
 	}
 	if err := c.netConn.SetReadDeadline(time.Time{}); err != nil {
 		x.Close()
-		return nil, &ExchangeError{Phase: "head", Err: x.contextCause(err)}
+		return nil, &ExchangeError{Phase: "head", Err: x.cause(err)}
 	}
 	return x, nil
 }
 
-// contextCause returns the cause of ctx's end, or err if ctx has not ended. Closing
-// the connection when ctx ends makes reads and writes fail with a less useful error.
-func (x *Exchange) contextCause(err error) error {
+// cause returns why this host has closed the connection, which makes reads and writes
+// fail with a less useful error: the cause of ctx's end, or that the upstream is gone.
+// It returns err if the host has not closed it.
+func (x *Exchange) cause(err error) error {
 	if cause := context.Cause(x.ctx); cause != nil {
 		return cause
 	}
-	return err
+	return x.monitor.cause(err)
 }
 
 func (x *Exchange) write(r *call.Request, header http.Header) error {
@@ -128,6 +131,11 @@
 		_, err := x.conn.netConn.Write(b.Bytes())
 		return err
 	}
+	x.monitor = &bodyMonitor{
+		conn: x.conn.netConn, began: time.Now(), written: x.bodyDone,
+		unreachable: func() bool { return x.conn.pool.Unreachable(x.ctx, time.Now()) },
+	}
+	x.monitor.begin()
 	go func() {
 		defer close(x.bodyDone)
 		if _, x.bodyErr = x.conn.netConn.Write(b.Bytes()); x.bodyErr == nil {
@@ -177,7 +185,7 @@
 
 // BodyError wraps an error from reading the body in an ExchangeError.
 func (x *Exchange) BodyError(err error) error {
-	return &ExchangeError{Phase: "body", Err: x.contextCause(err)}
+	return &ExchangeError{Phase: "body", Err: x.cause(err)}
 }
 
 // EndsWithConn reports whether the response has neither a Content-Length nor a transfer
@@ -188,8 +196,8 @@
 
 // Release returns the connection to the pool after the whole response was read. The
 // connection is closed instead if ctx has ended, if the request was not sent
-// completely, if the response ends with its connection, or if the pool already has
-// maxIdle idle connections.
+// completely, if part of it waits until the upstream reads on, if the response ends with
+// its connection, or if the pool already has maxIdle idle connections.
 func (x *Exchange) Release(p *Pool, now time.Time, maxIdle int) {
 	if !x.cancelClose() {
 		x.conn.Close()
@@ -201,7 +209,7 @@
 		x.conn.Close()
 		return
 	}
-	if x.bodyErr != nil || x.EndsWithConn() {
+	if !x.monitor.end() || x.bodyErr != nil || x.EndsWithConn() {
 		x.conn.Close()
 		return
 	}
--- a/link/pool.go
+++ b/link/pool.go
@@ -19,7 +19,8 @@
 	// DialTimeout limits the time to open a connection.
 	DialTimeout = 250 * time.Millisecond
 	// ackTimeout is how long sent bytes may remain unacknowledged before the
-	// kernel closes the connection.
+	// connection is closed. While a long body is sent, bodyMonitor sees to it, else
+	// the kernel.
 	ackTimeout = 800 * time.Millisecond
 	// keepAliveIdle, keepAliveInterval and keepAliveCount configure TCP keep-alive
 	// probes, which detect connections that went dead while no data is sent.
@@ -48,7 +49,8 @@
 
 // Conn is one connection to an upstream.
 type Conn struct {
-	netConn net.Conn
+	netConn *net.TCPConn
+	pool    *Pool
 	// reader buffers what it reads through limited.
 	reader  *bufio.Reader
 	limited *limitedReader
@@ -94,7 +96,7 @@
 		if c == nil {
 			return p.Dial(ctx)
 		}
-		if now.Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.netConn.(*net.TCPConn)) {
+		if now.Before(c.idleUntil) && c.reader.Buffered() == 0 && isIdle(c.netConn) {
 			return c, nil
 		}
 		c.Close()
@@ -111,7 +113,7 @@
 	p.opened++
 	p.mu.Unlock()
 	limited := &limitedReader{reader: raw}
-	return &Conn{netConn: raw, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+	return &Conn{netConn: raw.(*net.TCPConn), pool: p, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
 }
 
 // Unreachable reports whether a new connection can't be opened, as after the
--- a/link/socket.go
+++ b/link/socket.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"syscall"
 	"time"
 
@@ -12,17 +13,28 @@
 // acknowledged within the timeout.
 func TCPUserTimeout(timeout time.Duration) func(network, address string, c syscall.RawConn) error {
 	return func(_, _ string, c syscall.RawConn) error {
-		var sockErr error
-		err := c.Control(func(fd uintptr) {
-			sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
-		})
-		if err != nil {
-			return err
-		}
-		return sockErr
+		return controlUserTimeout(c, timeout)
 	}
 }
 
+// setUserTimeout changes the option TCP_USER_TIMEOUT of a connection. Zero selects the
+// system's default.
+func setUserTimeout(c syscall.Conn, timeout time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return controlUserTimeout(raw, timeout)
+}
+
+func controlUserTimeout(c syscall.RawConn, timeout time.Duration) error {
+	var sockErr error
+	err := c.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, sockErr)
+}
+
 // isIdle reports whether a connection is still open at the other end and has no
 // unread bytes, so that it can carry another request.
 func isIdle(c syscall.Conn) bool {
