Notice a store that never answers in time

Cause: the sum of the waits on the path was longer than its bound. A watch waited for 3 s and was given up 1.2 s later. If the store was silent for half a second and all readers had just begun a watch, since a change had woken them, none of them was ever answered, and no host looked before 4.2 s had passed. The next call came after a pause besides.

Fix: the hosts of a domain that read the store have different parts. The first one lets its watch wait for 1.5 s and gives it up after 0.5 s more, with a full read at once. A backup that becomes the first, or that hears from a peer what its watch has not told, begins another watch at once.

Weighed against it: two readers whose watches are staggered. After a change or an outage they fall into step, and keeping them apart takes an exchange of its own.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -15,10 +15,10 @@
 	"mulberrydyke/route"
 )
 
-// missingGracePeriod is how long an upstream whose entry is missing after a
+// MissingGracePeriod is how long an upstream whose entry is missing after a
 // failure of the store stays in use. Upstreams whose entries expired during the
 // failure write them again within two seconds.
-const missingGracePeriod = 2200 * time.Millisecond
+const MissingGracePeriod = 2200 * time.Millisecond
 
 // Entry is an upstream's entry in the store, or its removal.
 type Entry struct {
@@ -130,9 +130,9 @@
 		return now
 	}
 	if c.Failed() {
-		return now.Add(missingGracePeriod)
+		return now.Add(MissingGracePeriod)
 	}
-	return c.recoveredAt.Add(missingGracePeriod)
+	return c.recoveredAt.Add(MissingGracePeriod)
 }
 
 // beginEpoch turns to an epoch of the store, from which the first host read at
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -166,7 +166,7 @@
 	m.RecordFailure(at(time.Second))
 	m.RecordFullRead(at(5 * time.Second))
 	read(m, at(5*time.Second), rev(8), serverItem("a", 2, "ready", 1))
-	if !m.Expire(at(5*time.Second+missingGracePeriod)) || len(upstreamStates(m)) != 1 {
+	if !m.Expire(at(5*time.Second+MissingGracePeriod)) || len(upstreamStates(m)) != 1 {
 		t.Errorf("in use after the grace period: %v", upstreamStates(m))
 	}
 }
@@ -280,7 +280,7 @@
 	if diff := cmp.Diff(map[plan.UpstreamID]route.State{"a": route.Ready, "b": route.Ready}, upstreamStates(follower)); diff != "" {
 		t.Error("within the grace period:", diff)
 	}
-	deadline := at(time.Second + missingGracePeriod)
+	deadline := at(time.Second + MissingGracePeriod)
 	if !reader.Expire(deadline) || !follower.Expire(deadline) {
 		t.Error("not removed at the end of the grace period")
 	}
--- a/catalog/epoch_test.go
+++ b/catalog/epoch_test.go
@@ -81,7 +81,7 @@
 	apply(c, returned, sequencedItem("joined", 9, "ready", 1, 3))
 	apply(c, returned, sequencedItem("left", 10, "ready", 1, 7))
 	apply(c, returned, removedItem("silent", 11))
-	c.Expire(returned.Add(missingGracePeriod))
+	c.Expire(returned.Add(MissingGracePeriod))
 	want["left"] = route.Ready
 	if diff := cmp.Diff(want, upstreamStates(c)); diff != "" {
 		t.Errorf("after upstreams wrote again: %s", diff)
@@ -116,7 +116,7 @@
 	if n := len(upstreamStates(c)); n != 1 {
 		t.Errorf("%d upstreams right after the return, want 1", n)
 	}
-	if !c.Expire(at(time.Second+missingGracePeriod)) || len(upstreamStates(c)) != 0 {
+	if !c.Expire(at(time.Second+MissingGracePeriod)) || len(upstreamStates(c)) != 0 {
 		t.Error("still in use after the grace period")
 	}
 }
@@ -141,7 +141,7 @@
 		}
 	}
 	// The upstream that joined does not write again; its grace period began with the epoch.
-	end := at(time.Second + missingGracePeriod)
+	end := at(time.Second + MissingGracePeriod)
 	for name, c := range map[string]*Catalog{"reader": reader, "follower": follower, "starter": starter} {
 		if c.Expire(end); len(upstreamStates(c)) != 2 {
 			t.Errorf("%s: in use after the grace period: %v", name, upstreamStates(c))
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -158,5 +158,5 @@
 		return
 	}
 	c.revisions[u.ID] = u.Revision
-	c.graceDeadlines[u.ID] = now.Add(min(missingGracePeriod, max(0, u.Remaining)))
+	c.graceDeadlines[u.ID] = now.Add(min(MissingGracePeriod, max(0, u.Remaining)))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rotisserie/eris"
 
+	"mulberrydyke/catalog"
 	"mulberrydyke/clock"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/drain"
@@ -34,11 +35,11 @@
 )
 
 const (
-	// watchWaitFactor multiplies the time within which a new table must take
-	// effect. The product is how long the platform's store may hold a watch
-	// without an event, which limits how long a host waits for a lost response.
-	// Changes that other hosts have read arrive sooner, by gossip.
-	watchWaitFactor = 1.5
+	// watchPeriodFactor multiplies the time within which a new table must take
+	// effect. The product is how long the platform's store may hold a watch of the
+	// first reader of a domain without an event, which limits how long a lost
+	// response goes unnoticed.
+	watchPeriodFactor = 0.75
 	// memoryLimitFraction is the fraction of the machine's memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
@@ -127,8 +128,7 @@
 		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains,
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
-	watchWait := time.Duration(watchWaitFactor * float64(s.Bounds.MaxApplyDelay))
-	reader, cleanup := platform.NewReader(s.Platform, watchWait, h, h.log)
+	reader, cleanup := platform.NewReader(s.Platform, watchPeriod(s.Bounds), h, h.log)
 	h.reader = reader
 	h.cleanups = append(h.cleanups, cleanup)
 	if err := h.buildGossip(); err != nil {
@@ -140,6 +140,11 @@
 	return h.listen()
 }
 
+// watchPeriod returns how long the store may hold a watch without an event.
+func watchPeriod(b setting.EdgeBounds) time.Duration {
+	return time.Duration(watchPeriodFactor * float64(b.MaxApplyDelay))
+}
+
 func (h *Host) buildGossip() error {
 	s := h.settings
 	node, cleanup, err := gossip.Listen(gossip.Options{
@@ -274,8 +279,8 @@
 // Reading implements gossip.Lists.
 func (h *Host) Reading() bool { return h.reader.Reading() }
 
-// SetMustRead implements gossip.Lists.
-func (h *Host) SetMustRead(mustRead bool) { h.reader.SetMustRead(mustRead) }
+// SetReadDuty implements gossip.Lists.
+func (h *Host) SetReadDuty(d catalog.ReadDuty) { h.reader.SetDuty(d) }
 
 // Snapshot implements gossip.Lists.
 func (h *Host) Snapshot(since route.Position, table plan.Version) ([]byte, error) {
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"mulberrydyke/call"
+	"mulberrydyke/catalog"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/drain"
 	"mulberrydyke/plan"
@@ -50,14 +51,14 @@
 
 // simLists implements Lists for a host that reads the store whenever it must.
 type simLists struct {
-	mustRead bool
-	table    plan.Version
-	position route.Position
+	mustRead, first bool
+	table           plan.Version
+	position        route.Position
 }
 
 func (l *simLists) Versions() (plan.Version, route.Position) { return l.table, l.position }
 func (l *simLists) Reading() bool                            { return l.mustRead }
-func (l *simLists) SetMustRead(mustRead bool)                { l.mustRead = mustRead }
+func (l *simLists) SetReadDuty(d catalog.ReadDuty)           { l.mustRead, l.first = d.MustRead, d.First }
 
 // simSnapshot is what simulated hosts send each other of their lists.
 type simSnapshot struct {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"mulberrydyke/catalog"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/drain"
 	"mulberrydyke/plan"
@@ -300,8 +301,8 @@
 	return plan.Version(l.revision), route.Position{Revision: l.revision}
 }
 
-func (l *fakeLists) Reading() bool    { return false }
-func (l *fakeLists) SetMustRead(bool) {}
+func (l *fakeLists) Reading() bool                { return false }
+func (l *fakeLists) SetReadDuty(catalog.ReadDuty) {}
 
 func (l *fakeLists) Snapshot(route.Position, plan.Version) ([]byte, error) {
 	_, position := l.Versions()
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"mulberrydyke/catalog"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/drain"
 	"mulberrydyke/plan"
@@ -32,6 +33,10 @@
 	// startInterval is the time between two decisions, soon after the start, whether
 	// to read the store.
 	startInterval = 50 * time.Millisecond
+	// SpreadTime is how long other hosts take at the most until they have what one host
+	// of their domain has read, if no message is lost: those of its group fetch it, and
+	// from the speakers of the other groups the rest. Either may wait for the next fetch.
+	SpreadTime = 2 * max(minFetchInterval, fetchDelay)
 	// membersLogInterval is the minimum time between two log lines about the hosts
 	// in reach.
 	membersLogInterval = time.Second
@@ -46,9 +51,8 @@
 	// Reading reports whether this host currently reads the platform's store
 	// itself.
 	Reading() bool
-	// SetMustRead sets whether this host has to read the platform's store
-	// itself.
-	SetMustRead(mustRead bool)
+	// SetReadDuty sets this host's part in reading the platform's store.
+	SetReadDuty(d catalog.ReadDuty)
 	// Snapshot returns everything after a position, for a host that has the given
 	// version of the table, encoded for Merge.
 	Snapshot(since route.Position, table plan.Version) ([]byte, error)
@@ -250,9 +254,9 @@
 func (n *Node) decideReading(now time.Time) bool {
 	reading := n.Lists.Reading()
 	n.mu.Lock()
-	mustRead, settled := n.members.MustRead(now, reading), n.members.readers.settled(now)
+	duty, settled := n.members.ReadDuty(now, reading), n.members.readers.settled(now)
 	n.mu.Unlock()
-	n.Lists.SetMustRead(mustRead)
+	n.Lists.SetReadDuty(duty)
 	return settled
 }
 
--- a/gossip/readers.go
+++ b/gossip/readers.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"mulberrydyke/catalog"
 )
 
 const (
@@ -86,6 +88,15 @@
 	return reading || now.Sub(m.readers.starvedSince) >= time.Duration(m.readerRank(now))*readerTurn
 }
 
+// ReadDuty returns the part of this host in reading the platform's store. It is the
+// first of its domain unless it hears one that reads and comes before it.
+func (m *Members) ReadDuty(now time.Time, reading bool) catalog.ReadDuty {
+	before := m.selectMembers(func(x *member) bool {
+		return x.domain == m.domain && x.reader.addr == x.addr && now.Sub(x.reader.at) < readerTimeout && x.addr.Less(m.self)
+	})
+	return catalog.ReadDuty{MustRead: m.MustRead(now, reading), First: len(before) == 0}
+}
+
 // readerRank returns how many hosts have their turn to read the store before this
 // one, when no reader is known. Each group finds a reader by itself. While this host
 // does not hear its group yet, the hosts of the domain that it knows of count.
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -19,13 +19,14 @@
 	n.mu.Lock()
 	targets := n.members.Targets(now, urgent)
 	n.role, n.group, n.peers = n.members.Role(now), n.members.Group(), n.members.SamplePeers(now, maxLocalPeers)
-	view := fleetView{live: n.members.LiveCount(now), role: n.role, mustRead: n.members.MustRead(now, reading)}
+	duty := n.members.ReadDuty(now, reading)
+	view := fleetView{live: n.members.LiveCount(now), role: n.role, mustRead: duty.MustRead}
 	n.knownCount.Store(int64(n.members.KnownCount() + n.Balancer.RemoteHostCount()))
 	n.logView(now, view)
 	hosts, leaving := n.members.hostsByDomain()
 	n.Limiter.Holders.SetHosts(now, hosts, leaving)
 	n.mu.Unlock()
-	n.Lists.SetMustRead(view.mustRead)
+	n.Lists.SetReadDuty(duty)
 	n.Balancer.SetSources(now, view.role >= RoleSpeaker, view.role == RoleReporter)
 	n.sendReport(now, targets.Group, Message{Kind: KindHost, Report: n.Balancer.Report(now)})
 	n.sendToGroups(now, targets)
--- a/link/acknowledge_test.go
+++ b/link/acknowledge_test.go
@@ -34,7 +34,9 @@
 			want: ackOverdue, wantAt: time.Second + ackTimeout,
 		},
 		"slow, and acknowledges": {
-			at:   func(time.Duration) sendState { return sendState{unacked: 4, unsent: 9000, sinceAck: 300 * time.Millisecond} },
+			at: func(time.Duration) sendState {
+				return sendState{unacked: 4, unsent: 9000, sinceAck: 300 * time.Millisecond}
+			},
 			want: ackInTime,
 		},
 		"without room, and acknowledges probes": {
