Count events without end against the memory for answers

Another operator reported upstreams that send bytes without end, in a head or in a body, until the host that keeps them runs out of memory and ends, and with it other callers' requests. It can happen here, for streams: one event may take 1 MiB, and nothing bounded all of them together.

Evidence: TestBytesWithoutEndCostNoOtherRequest, with a real process, 8 upstreams of a service that send without end, 200 requests at once, and callers of the other service meanwhile; twelve ways (status line, header, interim heads, bodies without, with a false and beyond their length, chunks, chunk extensions, trailers, a refusal's body), plain and streamed.

Fix: the event that is being read counts against the same 8 MiB as answers that are buffered. Answers and events up to 32 KiB are buffered all the same, so that sound ones don't fail beside those without end; TestSmallAnswersPassBesideOnesWithoutEnd fails before for plain answers. Large buffers of events aren't kept for the next one.

Bytes without end from the store and from a peer were bounded already; TestEndlessAnswerOfTheStoreIsCut and TestEndlessPeerIsCut passed when first run. Hosts on the users' platform send no health checks and read no reports, so those have no test.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -15,8 +15,11 @@
 
 const (
 	// maxBufferedBytes limits the bodies of all responses that are buffered at the
-	// same time. Upstreams in trouble may send without end.
+	// same time, and the events of streams. Upstreams in trouble may send without end.
 	maxBufferedBytes = 8 << 20
+	// maxFreeBytes is the size up to which a response or an event is buffered whatever
+	// others take, so that sound ones don't fail beside those without end.
+	maxFreeBytes = 32 << 10
 	// maxDiscardBytes limits how much of an unneeded response is read so that its
 	// connection can be reused.
 	maxDiscardBytes = 16 << 10
@@ -37,7 +40,7 @@
 // the caller.
 func (x *exchange) relayBuffered(ctx context.Context, lease *dispatch.Lease, upstreamEx *link.Exchange) attemptResult {
 	server := x.server
-	reader := &bufferedReader{reader: upstreamEx.Body(), total: &server.bufferedBytes}
+	reader := &bufferedReader{reader: upstreamEx.Body(), bufferUse: bufferUse{total: &server.bufferedBytes}}
 	defer reader.release()
 	body, err := io.ReadAll(reader)
 	if err != nil {
@@ -64,29 +67,46 @@
 	return attemptMayHaveRun
 }
 
-// bufferedReader counts what is read against the bytes that a server may buffer.
-type bufferedReader struct {
-	reader io.Reader
+// bufferUse counts what is buffered of one response against the bytes that a server may
+// buffer.
+type bufferUse struct {
 	// total counts the bytes that are buffered of all responses, taken those of this
 	// one.
 	total *atomic.Int64
 	taken int64
 }
 
-// Read implements io.Reader. It fails with errResponseTooLarge if all responses
-// together take more than maxBufferedBytes.
+// take counts more bytes. It fails with errResponseTooLarge if this response is not small
+// and all together take more than maxBufferedBytes.
+func (u *bufferUse) take(bytes int) error {
+	u.taken += int64(bytes)
+	if u.total.Add(int64(bytes)) > maxBufferedBytes && u.taken > maxFreeBytes {
+		return errResponseTooLarge
+	}
+	return nil
+}
+
+// release ends the count of the bytes, when they are no longer needed.
+func (u *bufferUse) release() {
+	u.total.Add(-u.taken)
+	u.taken = 0
+}
+
+// bufferedReader counts what is read against the bytes that a server may buffer.
+type bufferedReader struct {
+	reader io.Reader
+	bufferUse
+}
+
+// Read implements io.Reader. It fails as bufferUse.take does.
 func (r *bufferedReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
-	r.taken += int64(n)
-	if r.total.Add(int64(n)) > maxBufferedBytes {
-		return n, errResponseTooLarge
+	if tooLarge := r.take(n); tooLarge != nil {
+		return n, tooLarge
 	}
 	return n, err
 }
 
-// release ends the count of the bytes, when the response is no longer needed.
-func (r *bufferedReader) release() { r.total.Add(-r.taken) }
-
 // statusError reports a response with a failure status.
 type statusError struct{ status int }
 
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -111,3 +111,23 @@
 		return max(most, before) - before
 	}
 }
+
+// TestSmallAnswersPassBesideOnesWithoutEnd guards against hosts that fail sound answers,
+// because others without end have taken all the memory that a host sets apart for answers.
+func TestSmallAnswersPassBesideOnesWithoutEnd(t *testing.T) {
+	f := newFixture(t, newStub(t, "u1", func(conn net.Conn, r receivedRequest) bool {
+		if strings.HasPrefix(r.URL.Path, "/draft/") {
+			return respondStream(1, 5)(conn, r)
+		}
+		return respond(200, "done")(conn, r)
+	}))
+	f.server.bufferedBytes.Add(maxBufferedBytes)
+	for path, want := range map[string]string{"/place/x": "done", "/draft/x": eventText(1, 5)} {
+		if got := f.post(path, "p"); got.status != 200 || got.err != nil || got.body != want {
+			t.Errorf("%s: %d %v %q", path, got.status, got.err, got.body)
+		}
+	}
+	if left := f.server.bufferedBytes.Load(); left != maxBufferedBytes {
+		t.Errorf("%d bytes are still counted", left-maxBufferedBytes)
+	}
+}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"io"
 	"strconv"
+	"sync/atomic"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -15,10 +16,15 @@
 	reader *bufio.Reader
 	// buf holds the event that is being read, including its closing empty line.
 	buf []byte
+	// use counts the bytes of buf.
+	use bufferUse
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, 2<<10)}
+// newEventReader returns a reader that counts the event that it buffers in total. The
+// returned function ends that count.
+func newEventReader(r io.Reader, total *atomic.Int64) (*eventReader, func()) {
+	e := &eventReader{reader: bufio.NewReaderSize(r, 2<<10), use: bufferUse{total: total}}
+	return e, e.use.release
 }
 
 // event is one complete event as the upstream sent it.
@@ -35,9 +41,16 @@
 // next returns the next complete event. It returns io.EOF if the stream ends
 // between events, and io.ErrUnexpectedEOF if it ends within one.
 func (r *eventReader) next() (event, error) {
+	r.use.release()
 	r.buf = r.buf[:0]
+	if cap(r.buf) > maxFreeBytes {
+		r.buf = nil
+	}
 	for {
 		line, err := r.reader.ReadSlice('\n')
+		if tooLarge := r.use.take(len(line)); tooLarge != nil {
+			return event{}, tooLarge
+		}
 		r.buf = append(r.buf, line...)
 		switch {
 		case err == bufio.ErrBufferFull:
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -18,7 +18,8 @@
 // resume at another upstream within the same response. A stream that ends without
 // any event counts as interrupted.
 func (x *exchange) relayStream(ctx context.Context, lease *dispatch.Lease, upstreamEx *link.Exchange) attemptResult {
-	events := newEventReader(upstreamEx.Body())
+	events, release := newEventReader(upstreamEx.Body(), &x.server.bufferedBytes)
+	defer release()
 	resumed := x.headerWritten
 	for first := true; ; first = false {
 		e, err := events.next()
