Send a reply with grace periods to further hosts for a moment only

A host that fetches the lists of a peer gets the rest of the grace periods of upstreams whose entries are missing. The peer keeps its last reply for other hosts that ask for the same, for as long as no entry changes, and the end of a grace period changes none. So a host that asked late got the rest of the period as it was when the reply was made, and sent requests to the upstream for up to 2.2 s more (DRAIN); after the end it got the upstream itself. Replies are now sent again for 0.25 s at the most.

--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -30,6 +30,9 @@
 	maxSnapshotBytes = 16 << 20
 	maxReplyBytes    = 8 << 20
 	maxRequestBytes  = 4 << 10
+	// replyLifetime is how long a reply is sent to further hosts. Grace periods in it
+	// grow old.
+	replyLifetime = 250 * time.Millisecond
 )
 
 // fetchMethod is the net/rpc service and method that returns the lists.
@@ -57,10 +60,12 @@
 // listsService is the net/rpc service through which peers fetch the lists.
 type listsService struct {
 	lists Lists
+	now   func() time.Time
 	mu    sync.Mutex
-	// compressed is the last reply, which took a host from one version to the
-	// other. When the lists change, all hosts of a domain send the same request.
+	// compressed is the last reply, made at madeAt, which took a host from one version
+	// to the other. When the lists change, all hosts of a domain send the same request.
 	compressed []byte
+	madeAt     time.Time
 	from, to   listsVersion
 }
 
@@ -70,7 +75,8 @@
 	defer s.mu.Unlock()
 	from, to := listsVersion{in.Table, in.Since}, listsVersion{}
 	to.table, to.position = s.lists.Versions()
-	if s.compressed == nil || s.from != from || s.to != to {
+	now := s.now()
+	if s.compressed == nil || s.from != from || s.to != to || now.Sub(s.madeAt) >= replyLifetime {
 		raw, err := s.lists.Snapshot(in.Since, in.Table)
 		if err != nil {
 			return err
@@ -78,7 +84,7 @@
 		if s.compressed, err = compress(raw); err != nil {
 			return err
 		}
-		s.from, s.to = from, to
+		s.from, s.to, s.madeAt = from, to, now
 	}
 	out.Snapshot = s.compressed
 	return nil
@@ -134,7 +140,7 @@
 // call. The returned function closes the listener.
 func (n *Node) listenRPC() (func(), error) {
 	server := rpc.NewServer()
-	if err := server.RegisterName("Lists", &listsService{lists: n.Lists}); err != nil {
+	if err := server.RegisterName("Lists", &listsService{lists: n.Lists, now: n.Now}); err != nil {
 		return nil, eris.Wrap(err, "register the RPC service")
 	}
 	listener, err := net.Listen("tcp4", n.RPCAddr.String())
