Count the store as back for hosts that leave reading it to others

A host that had failed to read the store, and then left that to other hosts, counted the store as lost from then on, since only a full read of its own ended that. A host rests only when it knows another one that reads, so the store serves.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -66,9 +66,8 @@
 	departures departures
 	// graceDeadlines holds when each missing upstream is removed.
 	graceDeadlines map[plan.UpstreamID]time.Time
-	// failedAt is when the store last failed; recoveredAt is when it then
-	// served a full read. While failedAt is after recoveredAt, the store is
-	// unreachable.
+	// failedAt is when the store last failed; recoveredAt is when it then served
+	// again. While failedAt is after recoveredAt, the store is unreachable.
 	failedAt, recoveredAt time.Time
 	// position is the place in the store's changes up to which the catalog is
 	// complete, and epochBeganAt when the first host of the fleet read from its
@@ -113,14 +112,15 @@
 // RecordFailure records that a call to the store failed.
 func (c *Catalog) RecordFailure(now time.Time) { c.failedAt = now }
 
-// RecordFullRead records the first full read after a failure of the store.
-func (c *Catalog) RecordFullRead(now time.Time) {
+// RecordRecovery records that the store serves this host again after a failure, or the
+// hosts that read for it.
+func (c *Catalog) RecordRecovery(now time.Time) {
 	if !c.recoveredAt.After(c.failedAt) && !c.failedAt.IsZero() {
 		c.recoveredAt = now
 	}
 }
 
-// Failed reports whether the store has failed since the last full read.
+// Failed reports whether the store has failed and not served again since.
 func (c *Catalog) Failed() bool { return c.failedAt.After(c.recoveredAt) }
 
 // graceDeadline returns when an upstream that is found missing now is removed.
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -148,7 +148,7 @@
 	both := []any{serverItem("a", 2, "ready", 1), serverItem("b", 3, "ready", 1)}
 	read(m, start, rev(3), both...)
 	m.RecordFailure(at(time.Second))
-	m.RecordFullRead(at(5 * time.Second))
+	m.RecordRecovery(at(5 * time.Second))
 	read(m, at(5*time.Second), rev(8), both[:1]...)
 	if len(upstreamStates(m)) != 2 {
 		t.Fatalf("in use right after the store recovered: %v", upstreamStates(m))
@@ -164,7 +164,7 @@
 	m := New(testDecoder{})
 	read(m, start, rev(3), serverItem("a", 2, "ready", 1), serverItem("b", 3, "ready", 1))
 	m.RecordFailure(at(time.Second))
-	m.RecordFullRead(at(5 * time.Second))
+	m.RecordRecovery(at(5 * time.Second))
 	read(m, at(5*time.Second), rev(8), serverItem("a", 2, "ready", 1))
 	if !m.Expire(at(5*time.Second+MissingGracePeriod)) || len(upstreamStates(m)) != 1 {
 		t.Errorf("in use after the grace period: %v", upstreamStates(m))
@@ -272,7 +272,7 @@
 	read(reader, start, rev(3), both...)
 	read(follower, start, rev(3), both...)
 	reader.RecordFailure(start)
-	reader.RecordFullRead(at(time.Second))
+	reader.RecordRecovery(at(time.Second))
 	apply(reader, at(time.Second), removedItem("b", 5))
 	reader.Advance(6)
 	mergedAt := at(1200 * time.Millisecond)
--- a/catalog/removal_test.go
+++ b/catalog/removal_test.go
@@ -219,3 +219,18 @@
 		}
 	}
 }
+
+// TestWholeListRemovesAtOnceLongAfterAFailure guards against hosts that lost the store once
+// and left reading it to others: long after that, they kept an upstream for a grace period
+// that was missing in another host's whole list.
+func TestWholeListRemovesAtOnceLongAfterAFailure(t *testing.T) {
+	follower, restarted := New(testDecoder{}), New(testDecoder{})
+	read(follower, start, rev(3), itemA, itemB)
+	follower.RecordFailure(at(time.Second))
+	follower.RecordRecovery(at(2 * time.Second))
+	read(restarted, at(20*time.Second), rev(5), itemA)
+	follower.Merge(at(20*time.Second), restarted.SnapshotSince(at(20*time.Second), rev(3), 0))
+	if diff := cmp.Diff(onlyA, upstreamStates(follower)); diff != "" {
+		t.Error(diff)
+	}
+}
