--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -147,7 +147,7 @@
 	if h == nil || h.down || cut(h, from) {
 		return nil, errOutOfReach
 	}
-	return h.lists.Snapshot(request.Since, request.Table)
+	return h.Lists.Snapshot(request.Since, request.Table)
 }
 
 // cut reports whether two hosts can't reach each other.
