--- a/route/table.go
+++ b/route/table.go
@@ -123,6 +123,11 @@
 	// MaxConnections is the number of connections that one upstream accepts from
 	// all hosts together. Zero means that no limit is known.
 	MaxConnections int
+	// ColdStart is how long an upstream is cold after its start.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that a cold upstream takes from all hosts
+	// together. Zero means that cold upstreams have no limit.
+	ColdRate float64
 	// Engine is nil for plain services, which run no model.
 	Engine *Engine
 }
--- a/route/upstream.go
+++ b/route/upstream.go
@@ -16,6 +16,8 @@
 	Ready State = iota
 	// Draining upstreams finish their running requests and accept no new ones.
 	Draining
+	// Evacuated upstreams get no requests until the operators take their failure domain back.
+	Evacuated
 )
 
 // Upstream is a back end as the platform lists it.
@@ -27,6 +29,11 @@
 	Domain  plan.DomainID
 	State   State
 	Slots   int
+	// ColdRemaining is how long the upstream said that it stays cold when it wrote its entry.
+	ColdRemaining time.Duration
+	// ColdUntil is how long the upstream counts as cold: until then it takes requests only at the
+	// cold rate of its service.
+	ColdUntil time.Time
 	// StartedAt is when the upstream's process started. It changes when an
 	// upstream restarts under the same ID.
 	StartedAt time.Time
--- a/setting/edge.go
+++ b/setting/edge.go
@@ -32,7 +32,10 @@
 	Cores int
 	// MemoryBytes is the memory limit above which the process is killed.
 	MemoryBytes int64
-	Bounds      EdgeBounds
+	// MaxFileDescriptors is the number of descriptors that the process may have open. Zero means
+	// that no limit is known.
+	MaxFileDescriptors int
+	Bounds             EdgeBounds
 }
 
 // EdgeBounds holds the operators' limits for shutdown, configuration changes,
@@ -54,6 +57,12 @@
 	// PrefixReuseWindow is the time within which another request with the same
 	// prompt prefix is expected.
 	PrefixReuseWindow time.Duration
+	// ColdOvershoot times the cold rate of a service, plus ColdSlack, is the number of requests
+	// that one of its cold upstreams may get from all hosts together in any second.
+	ColdOvershoot, ColdSlack float64
+	// MaxEvacuationDelay is the time within which the evacuation of a failure domain must take
+	// effect.
+	MaxEvacuationDelay time.Duration
 }
 
 // Check returns an Error for the first invalid field.
@@ -89,6 +98,9 @@
 			return &Error{Field: d.field, Reason: "want a duration above 0"}
 		}
 	}
+	if b.ColdOvershoot < 0 || b.ColdSlack < 0 {
+		return &Error{Field: "cold-overshoot", Reason: "want 0 or more"}
+	}
 	if b.RetryRatio < 0 || b.RetryExtra < 0 {
 		return &Error{Field: "retry-ratio", Reason: "want 0 or more"}
 	}
