Learn the speed of upstreams from all hosts' measurements

Servers of one service differ in speed, and some slow down long before their slots are in use. Callers whose requests went to such a server waited longer for first events and had longer gaps, since the cost of an upstream used one prefill speed and nine tenths of the slots for all, and hosts knew the latency of plain services only from their own few requests.

Each host compares gaps between events, first events and response times with a line fitted over the service's upstreams under a like load. Load reports carry decaying sums of the differences, which are added like loads. From them follow each upstream's relative speed, the load from which it slows down, and a coarse class with hysteresis, used in the cost, the slot limit, the preferred engines, the partition and the share of plain upstreams. Speeds within a fifth of the mean count as exactly 1.

--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -110,6 +110,7 @@
 	now   time.Time
 	class Class
 	query *Query
+	group *targetGroup
 	// failureFloor is the failure rate that is normal for the service.
 	failureFloor float64
 	// prefillSpeed and baseLatency are the measured prefill timing of the
@@ -150,12 +151,13 @@
 // The queueWait is the time in milliseconds until the queued prompts are
 // prefilled.
 func engineCost(in *costInput, t *target, total *loadCounts, queueWait float64, uncached, rank int) float64 {
-	expectedMs := in.baseLatency + queueWait + float64(uncached)/in.prefillSpeed + runningRequestCost*float64(total.running())
-	cost := expectedMs + latenessCost(expectedMs, in.query.LatencyTarget) + prefixMissCost(uncached, rank, in.query.Prompt)
+	speed := t.relativeSpeed()
+	expectedMs := in.baseLatency/speed + queueWait + float64(uncached)/t.targetSpeed(in.prefillSpeed) + runningRequestCost*float64(total.running())/speed
+	cost := expectedMs + gapCost(in, t) + latenessCost(expectedMs, in.query.LatencyTarget) + prefixMissCost(uncached, rank, in.query.Prompt)
 	if in.class == ClassLong && rank < 0 {
 		cost += nonPreferredCost
 	}
-	return cost + slotOverflowCost(total.running(), t.upstream.Slots) + classMismatchCost(t, in.class, *total, uncached)
+	return cost + slotOverflowCost(total.running(), t) + classMismatchCost(t, in.class, *total, uncached)
 }
 
 // Prefill load from other hosts. Their counts are some hundred milliseconds old,
@@ -171,25 +173,57 @@
 )
 
 // queueWait returns the expected time in milliseconds until an engine has
-// prefilled its queued prompts, at a speed in tokens per millisecond. It is
-// estimated from the pending tokens of this host and the arrival rates that other
-// hosts report. If the observed wait is longer, that is returned instead.
+// prefilled its queued prompts. The speed is that of an engine of mean speed, in
+// tokens per millisecond. The wait is estimated from the load. If the observed wait
+// is longer, that is returned instead.
 func (t *target) queueWait(now time.Time, speed float64) float64 {
+	return max(t.estimatedWait(speed), t.currentWait(now))
+}
+
+// estimatedWait returns the wait in milliseconds that follows from the pending tokens
+// of this host and the arrival rates that other hosts report. The speed is that of an
+// engine of mean speed.
+func (t *target) estimatedWait(speed float64) float64 {
+	speed = t.targetSpeed(speed)
 	utilization := min(maxUtilization, (t.groupLoad.arrivalRate+t.domainLoad.arrivalRate+t.remoteLoad.arrivalRate)/(speed*1000))
-	return max(float64(t.localLoad.pendingTokens)/speed+meanPrefillMs*utilization/(1-utilization), t.currentWait(now))
+	return float64(t.localLoad.pendingTokens)/speed + meanPrefillMs/t.relativeSpeed()*utilization/(1-utilization)
 }
 
-// overflowRequestCost is the penalty for each request above nine tenths of the
-// slots. A request beyond the slots has to wait until another one ends.
+// overflowRequestCost is the penalty for each request above the number up to which
+// the engine is not slowed down. A request beyond the slots has to wait until another one ends.
 const overflowRequestCost = 40.0
 
-// slotOverflowCost returns the penalty for an engine with more than nine tenths of
-// its slots in use.
-func slotOverflowCost(running, slots int) float64 {
-	if slots <= 0 {
+// slotOverflowCost returns the penalty for an engine with more requests than it is
+// known to run without slowing down, which is nine tenths of its slots at most.
+func slotOverflowCost(running int, t *target) float64 {
+	if t.upstream.Slots <= 0 {
+		return 0
+	}
+	return overflowRequestCost * float64(max(0, running-t.loadLimit()))
+}
+
+// Penalties for gaps between events.
+const (
+	// gapStartFraction is the share of the gap target from which the penalty for the
+	// expected mean gap starts. The longest gap of a stream is well above the mean.
+	gapStartFraction = 0.6
+	// gapCostFactor is the cost of each millisecond above that share, and maxGapCost
+	// the highest penalty.
+	gapCostFactor = 5.0
+	maxGapCost    = 200.0
+)
+
+// gapCost returns by how much more the gaps between events cost at an engine than they
+// would at one of mean speed under the same load.
+func gapCost(in *costInput, t *target) float64 {
+	speed := t.relativeSpeed()
+	if speed == 1 || in.query.GapTarget <= 0 {
 		return 0
 	}
-	return overflowRequestCost * float64(max(0, running-slots*9/10))
+	gap := in.group.expectedGap(in.now, t)
+	start := gapStartFraction * float64(in.query.GapTarget) / float64(time.Millisecond)
+	excess := max(0, gap/speed-start) - max(0, gap-start)
+	return min(maxGapCost, max(-maxGapCost, gapCostFactor*excess))
 }
 
 // classMismatchCost returns the penalty for running a request of one class on an
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -70,6 +70,9 @@
 	Throttled func(*route.Upstream) bool
 	// LatencyTarget is the latency within which the response is on time.
 	LatencyTarget time.Duration
+	// GapTarget is the longest gap between two events with which a stream is on time.
+	// Zero means that there is no target.
+	GapTarget time.Duration
 	// Urgency is the request's urgency at an engine, from 0 (most urgent) to 9.
 	Urgency int
 	// Retryable reports whether the request may be sent again, so that it may go
@@ -130,7 +133,7 @@
 	for id, u := range upstreams.ByID {
 		t := b.targets[id]
 		if t == nil || t.upstream.Address != u.Address || !t.upstream.StartedAt.Equal(u.StartedAt) {
-			t = newTarget(u)
+			t = newTarget(now, u)
 			b.targets[id] = t
 		}
 		if t.upstream.Position != u.Position {
@@ -167,12 +170,19 @@
 		return nil, &NoUpstreamError{Service: q.Service}
 	}
 	class := ClassOf(s, q.Prompt)
+	g.estimateSpeeds(now)
 	if class != ClassPlain {
+		g.recordLatencyTarget(class, q.LatencyTarget)
 		b.partition(now, g, s.Engine)
 	}
-	best := b.cheapest(now, g, class, &q, s, b.tooManyEjected(now, g))
+	includeEjected := b.tooManyEjected(now, g)
+	best := b.cheapest(now, g, class, &q, s, includeEjected, nil)
 	if best.target == nil {
-		best = b.cheapest(now, g, class, &q, s, true)
+		includeEjected = true
+		best = b.cheapest(now, g, class, &q, s, includeEjected, nil)
+	}
+	if class == ClassPlain && best.target != nil && g.hasShare(best.target) {
+		best = best.or(b.cheapest(now, g, class, &q, s, includeEjected, best.target))
 	}
 	if best.target == nil {
 		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
@@ -186,9 +196,11 @@
 	l := &Lease{
 		Upstream: best.target.upstream, Class: class, UncachedTokens: best.uncachedTokens, AcquiredAt: now, target: best.target,
 		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
-		ShortEngines: g.shortEngines, PrefillSpeed: speed,
+		ShortEngines: g.shortEngines, PrefillSpeed: speed, Speed: best.target.relativeSpeed(),
 	}
-	if class == ClassPlain {
+	if class != ClassPlain {
+		l.expectedWait = best.target.estimatedWait(speed)
+	} else {
 		l.MedianLatency = time.Duration(g.medianLatency() * float64(time.Millisecond))
 	}
 	best.target.acquire(l)
@@ -208,10 +220,10 @@
 
 // cheapest returns the upstream with the lowest cost that has a connection left.
 // With includeEjected it also considers upstreams that are ejected or on
-// probation.
-func (b *Balancer) cheapest(now time.Time, g *targetGroup, class Class, q *Query, s *route.Service, includeEjected bool) choice {
+// probation. It does not consider the target skipped.
+func (b *Balancer) cheapest(now time.Time, g *targetGroup, class Class, q *Query, s *route.Service, includeEjected bool, skipped *target) choice {
 	found := choice{cost: math.Inf(1)}
-	in := costInput{now: now, class: class, query: q, failureFloor: g.failureFloor(now)}
+	in := costInput{now: now, class: class, query: q, group: g, failureFloor: g.failureFloor(now)}
 	var preferred []int
 	if class != ClassPlain {
 		preferred = g.preferredEngines(q.Prompt.SharedPrefixID(), class)
@@ -220,7 +232,7 @@
 		in.medianLatency = g.medianLatency()
 	}
 	for i, t := range g.targets {
-		if t.upstream.State != route.Ready || t.misdirected || excluded(q.Exclude, t.upstream.ID) {
+		if t == skipped || t.upstream.State != route.Ready || t.misdirected || excluded(q.Exclude, t.upstream.ID) {
 			continue
 		}
 		skip := b.ejected(now, t) || t.onProbation(now) && !q.Retryable
@@ -259,15 +271,21 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if g := b.groups[l.Upstream.Service]; g != nil && !l.started && l.Class != ClassPlain {
-		elapsed := now.Sub(l.AcquiredAt)
-		g.localTiming.record(l.UncachedTokens, l.prompt.UnsharedTokens(), elapsed)
+		elapsed, relativeSpeed := now.Sub(l.AcquiredAt), l.target.relativeSpeed()
+		g.localTiming.record(l.UncachedTokens, l.prompt.UnsharedTokens(), time.Duration(float64(elapsed)*relativeSpeed))
 		if l.Class == ClassLong {
 			speed, baseLatency := g.prefillTiming()
-			l.target.recordWait(now, float64(elapsed)/float64(time.Millisecond)-baseLatency-float64(l.UncachedTokens)/speed)
+			l.target.recordWait(now, float64(elapsed)/float64(time.Millisecond)-baseLatency/relativeSpeed-float64(l.UncachedTokens)/speed/relativeSpeed)
 		}
+		l.firstEventLoad = l.target.relativeLoad(now, g)
+		b.recordFirstEventSpeed(now, g, l)
 	}
 	if !l.started && l.Class == ClassPlain {
 		l.target.recordLatency(now, now.Sub(l.AcquiredAt))
+		if g := b.groups[l.Upstream.Service]; g != nil {
+			elapsedMs := float64(now.Sub(l.AcquiredAt)) / float64(time.Millisecond)
+			b.recordSpeed(now, g, l.target, plainLatency, l.target.relativeLoad(now, g), logMilliseconds(elapsedMs), 1)
+		}
 	}
 	l.markStarted()
 }
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -51,6 +51,13 @@
 	otherGroupsWantedShort, remoteWantedShort []int
 	reportedWantedShort                       int
 	admitLimits                               admitLimits
+	// baselines holds what this host's measurements of all targets of this domain have in
+	// common, and remoteBaselines that of the other domains, whose network latency differs.
+	baselines, remoteBaselines [measurementKinds]baseline
+	// estimatedAt is when the speeds of the targets were last estimated.
+	estimatedAt time.Time
+	// latencyTargets holds the lowest recent latency target of each class.
+	latencyTargets [ClassLong + 1]time.Duration
 	// localTiming is the prefill timing that this host measured, groupTiming that
 	// of the other hosts of its group, domainTiming that of the other groups of its
 	// domain, and remoteTiming that of the other domains.
@@ -122,6 +129,8 @@
 func (g *targetGroup) inherit(old *targetGroup) {
 	g.wantedShort, g.localTiming, g.localSends = old.wantedShort, old.localTiming, old.localSends
 	g.admitLimits = old.admitLimits
+	g.baselines, g.remoteBaselines = old.baselines, old.remoteBaselines
+	g.estimatedAt, g.latencyTargets = old.estimatedAt, old.latencyTargets
 }
 
 // interleaveDomains sorts the targets: the first of each domain, then the second
@@ -149,21 +158,23 @@
 		return
 	}
 	g.partitionedAt = now
-	usable, shortRequests := 0, 0
+	usable, shortRequests, capacity := 0, 0, 0.0
 	for _, t := range g.targets {
 		t.usable = b.usable(now, t)
 		if t.usable {
 			usable++
+			capacity += t.learned.class.current.capacity()
 			shortRequests += t.totalLoad().short
 		}
 	}
 	if usable < 2 {
 		g.shortEngines = max(1, g.shortEngines)
 	} else {
-		g.wantedShort = g.computeWantedShort(e, usable, shortRequests)
+		g.wantedShort = g.computeWantedShort(e, capacity, shortRequests)
 		g.shortEngines = min(usable-1, g.agreedWantedShort())
 	}
-	g.assignEngines()
+	g.assignEngines(max(1, usable-1))
+	g.forgetLatencyTargets()
 }
 
 // maxUnmetFraction is the share of the agreed number of engines for short prompts by
@@ -193,30 +204,72 @@
 	return t.upstream.Domain == b.domain || !b.silent(now, t.upstream.Domain)
 }
 
-// assignEngines assigns the first usable engines to short prompts and the others
-// to long ones. Unusable engines take up no place in either part; they are marked
-// as serving short prompts.
-func (g *targetGroup) assignEngines() {
-	remaining := g.shortEngines
-	for _, t := range g.targets {
-		t.servesLong = t.usable && remaining <= 0
-		if t.usable {
-			remaining--
+// assignEngines assigns the first usable engines to short prompts, until they have the
+// capacity of shortEngines engines or are as many as given, and the others to long ones.
+// Slow engines come last if short prompts have the tighter latency target, else first.
+// Unusable engines take up no place in either part; they are marked as serving short
+// prompts.
+func (g *targetGroup) assignEngines(maxEngines int) {
+	remaining := float64(g.shortEngines)
+	slowFirst := g.longIsTighter()
+	for pass := range 2 {
+		takesSlow := (pass == 0) == slowFirst
+		for _, t := range g.targets {
+			class := t.learned.class.current
+			if (class != notSlow) != takesSlow {
+				continue
+			}
+			t.servesLong = t.usable && (remaining <= 0 || maxEngines <= 0)
+			if t.usable && !t.servesLong {
+				remaining -= class.capacity()
+				maxEngines--
+			}
 		}
 	}
 }
 
-// computeWantedShort returns the number of engines that the short prompts need.
+const (
+	// latencyTargetGrowth is the factor by which the lowest latency target of a class
+	// grows with each partition, so that those of former routes are forgotten.
+	latencyTargetGrowth = 1.002
+	// tighterFraction is the share of the latency target of short prompts below which
+	// that of long prompts is tighter.
+	tighterFraction = 0.8
+)
+
+// recordLatencyTarget records the latency target of a request.
+func (g *targetGroup) recordLatencyTarget(class Class, target time.Duration) {
+	if known := g.latencyTargets[class]; target > 0 && (known == 0 || target < known) {
+		g.latencyTargets[class] = target
+	}
+}
+
+// forgetLatencyTargets raises the lowest latency targets slightly.
+func (g *targetGroup) forgetLatencyTargets() {
+	for class := range g.latencyTargets {
+		g.latencyTargets[class] = time.Duration(float64(g.latencyTargets[class]) * latencyTargetGrowth)
+	}
+}
+
+// longIsTighter reports whether long prompts have a clearly tighter latency target than
+// short ones.
+func (g *targetGroup) longIsTighter() bool {
+	long, short := g.latencyTargets[ClassLong], g.latencyTargets[ClassShort]
+	return long > 0 && float64(long) < tighterFraction*float64(short)
+}
+
+// computeWantedShort returns the number of engines that the short prompts need, in
+// engines that are not slow. The capacity is that of all usable engines.
 // Short prompts take precedence, because they are more urgent and the smaller
 // part of the work. The number grows as soon as more engines are needed, and
 // shrinks only when far fewer are, since a change moves the preferred engines of
 // prefixes.
-func (g *targetGroup) computeWantedShort(e *route.Engine, usable, shortRequests int) int {
+func (g *targetGroup) computeWantedShort(e *route.Engine, capacity float64, shortRequests int) int {
 	if g.wantedShort == 0 {
-		g.wantedShort = max(1, int(initialShortFraction*float64(usable)))
+		g.wantedShort = max(1, int(initialShortFraction*capacity))
 	}
 	needed := float64(shortRequests) / (targetSlotFraction * float64(max(1, e.Slots)))
-	minEngines, maxEngines := int(math.Ceil(minShortFraction*float64(usable))), max(1, int(maxShortFraction*float64(usable)))
+	minEngines, maxEngines := int(math.Ceil(minShortFraction*capacity)), max(1, int(maxShortFraction*capacity))
 	g.neededShort = min(maxEngines, int(math.Ceil(needed)))
 	wanted := g.wantedShort
 	if needed > float64(wanted) || needed < float64(wanted)*(1-shrinkIdleFraction)-1 {
@@ -265,8 +318,8 @@
 const maxPreferredEngines = 3
 
 // preferredEngines returns the indexes of the targets that should run prompts of
-// a class with a shared prefix, the first choice first. It uses rendezvous
-// hashing over the targets that serve the class.
+// a class with a shared prefix, the first choice first. It uses weighted rendezvous
+// hashing over the targets that serve the class; slow ones have less weight.
 func (g *targetGroup) preferredEngines(prefixID string, class Class) []int {
 	var best [maxPreferredEngines]int
 	var hashes [maxPreferredEngines]uint64
@@ -275,7 +328,7 @@
 		if !t.usable || t.servesLong != (class == ClassLong) {
 			continue
 		}
-		h := route.Hash(prefixID, string(t.upstream.ID))
+		h := t.learned.class.current.weigh(route.Hash(prefixID, string(t.upstream.ID)))
 		pos := n
 		for pos > 0 && h > hashes[pos-1] {
 			pos--
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -27,6 +27,9 @@
 	// PrefillSpeed is the measured prefill speed of the service's engines, in
 	// tokens per millisecond.
 	PrefillSpeed float64
+	// Speed is the estimated speed of the upstream relative to the others of its service,
+	// 1 if they are alike.
+	Speed float64
 	// MedianLatency is the median response time of a plain service. Zero means
 	// that none has been measured.
 	MedianLatency time.Duration
@@ -34,6 +37,11 @@
 	started       bool
 	released      bool
 	prompt        *call.Prompt
+	// expectedWait is the wait in milliseconds that the load of all hosts explained when
+	// the lease was acquired.
+	expectedWait float64
+	// firstEventLoad is the load of the upstream at the first event.
+	firstEventLoad relativeLoad
 }
 
 // NoUpstreamError reports that no upstream can take a request.
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -209,6 +209,7 @@
 func (b *Balancer) recomputeTotals(now time.Time) {
 	for _, t := range b.targets {
 		t.groupLoad, t.domainLoad, t.remoteLoad = loadCounts{}, loadCounts{}, loadCounts{}
+		t.groupSpeed, t.domainSpeed, t.remoteSpeed = reportedSums{}, reportedSums{}, reportedSums{}
 		t.groupVotes, t.domainVotes = 0, 0
 	}
 	for src, s := range b.sources {
@@ -235,6 +236,7 @@
 	for _, l := range r.Loads {
 		if t := b.byKey[l.Upstream]; t != nil {
 			t.loadFrom(k).add(l.counts().scale(sign))
+			t.speedFrom(k).add(decodeSums(l.Speed), sign)
 		}
 	}
 	for _, key := range r.Down {
@@ -260,6 +262,23 @@
 	return &t.remoteLoad
 }
 
+// speedFrom returns the total that holds the measurements of one kind of source.
+func (t *target) speedFrom(k sourceKind) *reportedSums {
+	switch k {
+	case hostSource:
+		return &t.groupSpeed
+	case groupSource:
+		return &t.domainSpeed
+	}
+	return &t.remoteSpeed
+}
+
+// reportedSpeed returns the sums of all other hosts in one load band.
+func (t *target) reportedSpeed(band int) reportedBand {
+	group, domain, remote := t.groupSpeed[band], t.domainSpeed[band], t.remoteSpeed[band]
+	return reportedBand{weight: group.weight + domain.weight + remote.weight, sum: group.sum + domain.sum + remote.sum}
+}
+
 // recomputeServices computes the totals of each service from the reports that have
 // not expired.
 func (b *Balancer) recomputeServices(now time.Time) {
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -22,7 +22,8 @@
 	return UpstreamKey(route.Hash(string(id)) % uint64(noUpstream))
 }
 
-// Load counts the requests and prompt tokens on one upstream.
+// Load counts the requests and prompt tokens on one upstream, and sums up the
+// measurements of its speed.
 type Load struct {
 	_        struct{} `cbor:",toarray"`
 	Upstream UpstreamKey
@@ -34,6 +35,10 @@
 	// ArrivalRate is the recent rate of prompt tokens sent to the upstream, in
 	// tokens per second.
 	ArrivalRate int
+	// Speed holds the recent measurements of the upstream's speed: for each load band,
+	// up to the last that has any, the weight of the measurements and the sum of their
+	// differences from what is expected.
+	Speed []int
 }
 
 // ServiceReport holds what a host, a group or a domain reports of one service.
@@ -106,13 +111,15 @@
 // covers reports whether the part describes an upstream.
 func (r *Report) covers(key UpstreamKey) bool { return key >= r.First && key <= r.last() }
 
-// addLoad adds the load of an upstream, unless there is none.
-func (r *Report) addLoad(key UpstreamKey, load loadCounts) {
-	if load.running() == 0 && load.arrivalRate < 1 {
+// addLoad adds the load of an upstream and the measurements of its speed, unless there
+// are none.
+func (r *Report) addLoad(key UpstreamKey, load loadCounts, sums reportedSums) {
+	speed := sums.encode()
+	if load.running() == 0 && load.arrivalRate < 1 && len(speed) == 0 {
 		return
 	}
 	r.Loads = append(r.Loads, Load{
-		Upstream: key, Short: load.short, Long: load.long, Plain: load.plain, PendingTokens: load.pendingTokens, ArrivalRate: int(load.arrivalRate),
+		Upstream: key, Short: load.short, Long: load.long, Plain: load.plain, PendingTokens: load.pendingTokens, ArrivalRate: int(load.arrivalRate), Speed: speed,
 	})
 }
 
@@ -158,11 +165,13 @@
 // Upper bounds of the encoded size of the elements of a report, in bytes, without
 // the names that they contain.
 const (
-	maxLoadBytes    = 26
+	maxLoadBytes    = 27
 	maxServiceBytes = 72
 	maxKeyBytes     = 5
 	maxDomainBytes  = 14
 	maxIntBytes     = 5
+	// maxSumBytes is the size of a weight or sum of measurements.
+	maxSumBytes = 3
 )
 
 // Split splits the report into parts of at most maxBytes when encoded. Half of
@@ -215,6 +224,9 @@
 	for size := 0; ; {
 		key, ok := r.firstKey()
 		size += maxLoadBytes + downQuorum*maxKeyBytes
+		if len(r.Loads) > 0 && r.Loads[0].Upstream == key {
+			size += maxSumBytes * len(r.Loads[0].Speed)
+		}
 		if !ok || size > maxBytes {
 			return
 		}
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -13,7 +13,7 @@
 	var r Report
 	for _, t := range b.targets {
 		t.decay(now)
-		r.addLoad(t.key, t.localLoad)
+		r.addLoad(t.key, t.localLoad, t.measured(now))
 		r.addDown(t.key, t.localVote(now))
 	}
 	for id, g := range b.groups {
@@ -32,7 +32,9 @@
 		t.decay(now)
 		load := t.localLoad
 		load.add(t.groupLoad)
-		r.addLoad(t.key, load)
+		sums := t.measured(now)
+		sums.add(t.groupSpeed, 1)
+		r.addLoad(t.key, load, sums)
 		r.addDown(t.key, t.localVote(now)+t.groupVotes)
 	}
 	for id, g := range b.groups {
@@ -52,7 +54,10 @@
 		load := t.localLoad
 		load.add(t.groupLoad)
 		load.add(t.domainLoad)
-		r.addLoad(t.key, load)
+		sums := t.measured(now)
+		sums.add(t.groupSpeed, 1)
+		sums.add(t.domainSpeed, 1)
+		r.addLoad(t.key, load, sums)
 	}
 	for id, g := range b.groups {
 		r.addService(ServiceReport{
@@ -73,7 +78,9 @@
 	for _, t := range b.targets {
 		load := t.domainLoad
 		load.add(t.remoteLoad)
-		r.addLoad(t.key, load)
+		sums := t.domainSpeed
+		sums.add(t.remoteSpeed, 1)
+		r.addLoad(t.key, load, sums)
 		r.addDown(t.key, t.domainVotes)
 	}
 	for id, g := range b.groups {
@@ -94,7 +101,7 @@
 	b.recomputeTotals(now)
 	var r Report
 	for _, t := range b.targets {
-		r.addLoad(t.key, t.remoteLoad)
+		r.addLoad(t.key, t.remoteLoad, t.remoteSpeed)
 	}
 	for id, g := range b.groups {
 		r.addService(ServiceReport{Service: id, RemoteWantedShort: slices.Clone(g.remoteWantedShort), Prefill: g.remoteTiming, Sent: g.remoteSends})
@@ -111,3 +118,9 @@
 	}
 	return out
 }
+
+// measured returns this host's measurements of the upstream's speed.
+func (t *target) measured(now time.Time) reportedSums {
+	t.speedSums.decay(now)
+	return t.speedSums.inUnits()
+}
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -73,6 +73,15 @@
 	// upstream because they could not reach it, domainVotes that of the hosts of
 	// the other groups of the domain.
 	groupVotes, domainVotes int
+	// speedSums holds this host's measurements of speed. groupSpeed, domainSpeed and
+	// remoteSpeed hold those of other hosts, as last reported.
+	speedSums                            speedSums
+	groupSpeed, domainSpeed, remoteSpeed reportedSums
+	learned                              learned
+	// listedAt is when the process of the upstream was first listed.
+	listedAt time.Time
+	// plainSends is the decayed number of plain requests that this host sent.
+	plainSends float64
 	// decayedAt is the time that localLoad.arrivalRate and failureAverage are
 	// valid for.
 	decayedAt time.Time
@@ -99,8 +108,8 @@
 }
 
 // newTarget returns a target without load or measurements.
-func newTarget(u *route.Upstream) *target {
-	return &target{upstream: u, key: KeyOf(u.ID), awaitingFirstEvent: map[*Lease]struct{}{}}
+func newTarget(now time.Time, u *route.Upstream) *target {
+	return &target{upstream: u, listedAt: now, key: KeyOf(u.ID), awaitingFirstEvent: map[*Lease]struct{}{}}
 }
 
 // totalLoad returns the load from all hosts, as far as it is known.
@@ -198,6 +207,9 @@
 	t.awaitingFirstEvent[l] = struct{}{}
 	t.localLoad.pendingTokens += l.UncachedTokens
 	t.localLoad.addClass(l.Class, 1)
+	if l.Class == ClassPlain {
+		t.plainSends++
+	}
 }
 
 // addClass adds n requests of a class.
