Record stream speeds in the gateway, and log the speed of upstreams

The balancer learns from the gaps between events, which the gateway measures: it passes the events and the time between the first and the last one when a stream has ended, and the route's gap target when it asks for an upstream.

--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -94,7 +94,7 @@
 		"events", x.events, "first", x.firstEventLatency, "pause", x.longestGap, "total", now.Sub(x.request.ReceivedAt),
 	}
 	if lease := x.lease; lease != nil {
-		attrs = append(attrs, "upstream", string(lease.Upstream.ID), "class", lease.Class.String(), "urgency", x.urgency(lease.Class), "missing", lease.UncachedTokens, "cost", lease.Cost, "candidates", lease.Candidates, "shorts", lease.ShortEngines, "pace", int(lease.PrefillSpeed))
+		attrs = append(attrs, "upstream", string(lease.Upstream.ID), "class", lease.Class.String(), "urgency", x.urgency(lease.Class), "missing", lease.UncachedTokens, "cost", lease.Cost, "candidates", lease.Candidates, "shorts", lease.ShortEngines, "pace", int(lease.PrefillSpeed), "speed", lease.Speed)
 	}
 	if x.cause != "" {
 		attrs = append(attrs, "cause", x.cause)
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -58,7 +58,7 @@
 		throttle := throttle{limits: server.RateLimits, now: now, urgency: urgency}
 		lease, err := server.Balancer.Acquire(now, dispatch.Query{
 			Service: x.service, Prompt: &x.request.Prompt, Exclude: x.tried, Throttled: throttle.filter(),
-			LatencyTarget: x.route.LatencyTarget, Urgency: urgency, Retryable: x.route.Retryable(), Jitter: rand.Float64(),
+			LatencyTarget: x.route.LatencyTarget, GapTarget: x.route.EventGapTarget, Urgency: urgency, Retryable: x.route.Retryable(), Jitter: rand.Float64(),
 		}, service)
 		var none *dispatch.NoUpstreamError
 		switch {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,9 +21,12 @@
 	events, release := newEventReader(upstreamEx.Body(), &x.server.bufferedBytes)
 	defer release()
 	resumed := x.headerWritten
+	eventsBefore := x.events
 	for first := true; ; first = false {
 		e, err := events.next()
 		if err == io.EOF && !first {
+			span := x.lastEventAt.Sub(x.attemptFirstEvent)
+			x.server.Balancer.RecordStream(x.server.Now(), lease, x.events-eventsBefore-1, span)
 			x.finishStream(ctx, lease, upstreamEx)
 			return attemptFinal
 		}
