--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,9 @@
 	// first reader of a domain without an event, which limits how long a lost
 	// response goes unnoticed.
 	watchPeriodFactor = 0.75
+	// evacuationPeriodFactor does the same for the time within which an evacuation must
+	// take effect. It leaves more time, since that bound also holds if the store goes silent.
+	evacuationPeriodFactor = 0.6
 	// memoryLimitFraction is the fraction of the machine's memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
@@ -82,6 +85,7 @@
 	metrics      *metrics.Set
 	table        atomic.Pointer[route.Table]
 	upstreams    upstreamList
+	pause        *pauseGuard
 	stopping     atomic.Bool
 	startedAt    time.Time
 	callerServer *http.Server
@@ -97,6 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet(), startedAt: time.Now()}
 	h.upstreams.init()
+	h.pause = newPauseGuard(h.startedAt, s.Bounds.MaxEvacuationDelay)
 	h.bounds.Store(&s.Bounds)
 	if err := h.build(ctx); err != nil {
 		h.close()
@@ -134,6 +139,7 @@
 	if err := h.buildGossip(); err != nil {
 		return err
 	}
+	h.goTask(func() { h.watchPauses(ctx) })
 	h.goTask(func() { reader.Run(ctx) })
 	h.goTask(func() { h.gossipNode.Run(ctx) })
 	go h.gossipNode.Receive()
@@ -142,7 +148,11 @@
 
 // watchPeriod returns how long the store may hold a watch without an event.
 func watchPeriod(b setting.EdgeBounds) time.Duration {
-	return time.Duration(watchPeriodFactor * float64(b.MaxApplyDelay))
+	period := time.Duration(watchPeriodFactor * float64(b.MaxApplyDelay))
+	if b.MaxEvacuationDelay > 0 {
+		period = min(period, time.Duration(evacuationPeriodFactor*float64(b.MaxEvacuationDelay)))
+	}
+	return period
 }
 
 func (h *Host) buildGossip() error {
@@ -238,6 +248,7 @@
 	})
 	h.metrics.NewGauge("mulberrydyke_rate_limited_upstreams", func() float64 { return float64(h.rateLimits.Count(time.Now())) })
 	h.metrics.NewGauge("mulberrydyke_draining_upstreams_told", func() float64 { return float64(h.drains.Count()) })
+	h.metrics.NewGauge("mulberrydyke_evacuated_domains", func() float64 { return float64(h.reader.EvacuatedDomains()) })
 	h.metrics.NewGauge("mulberrydyke_table_version", func() float64 {
 		table, _ := h.Versions()
 		return float64(table)
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -52,7 +52,12 @@
 	})
 }
 
+// lookupUpstream returns an upstream as it is in force now, or nil. If the process was paused, it
+// waits until the changes that it missed may be in force.
 func (h *Host) lookupUpstream(id plan.UpstreamID) *route.Upstream {
+	for hold := h.checkPause(); hold > 0; hold = h.checkPause() {
+		time.Sleep(hold)
+	}
 	return h.upstreams.inForce.Load().ByID[id]
 }
 
@@ -81,7 +86,7 @@
 	}
 	for _, u := range listed {
 		h.log.Info("upstream listed", "upstream", string(u.ID), "service", string(u.Service), "leaving", u.State == route.Draining,
-			"address", u.Address, "epoch", uint64(u.Position.Epoch), "revision", u.Position.Revision)
+			"evacuated", u.State == route.Evacuated, "address", u.Address, "epoch", uint64(u.Position.Epoch), "revision", u.Position.Revision)
 	}
 	for _, id := range gone {
 		h.log.Info("upstream gone", "upstream", string(id), "epoch", uint64(after.Position.Epoch), "revision", after.Position.Revision)
