Keep estimates of upstreams with few measurements

Estimates are discarded by the time since the last measurement instead of by the fall of the weight. Sums of few measurements are remembered for 10 s. Differences above a factor of 1.65 count by half, and a class changes after 3 s. The share of prefills enters the fit as the slowdown that it causes. Sums in reports have finer units, and reports are split by their size.

--- a/dispatch/baseline.go
+++ b/dispatch/baseline.go
@@ -1,11 +1,17 @@
 package dispatch
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// baselineDecay is the factor by which each new measurement reduces the weight of the
-	// earlier ones in a baseline.
+	// earlier ones in a baseline, unless more come within baselineWindow.
 	baselineDecay = 0.99
+	// baselineWindow is the time constant with which the measurements of a busy service
+	// decay.
+	baselineWindow = 10 * time.Second
 	// minBaselineWeight is the weight from which a baseline is compared with.
 	minBaselineWeight = 5
 	// slopeRidge is the weight of the assumed slopes. It keeps the slopes stable while all
@@ -19,6 +25,10 @@
 	initialVarianceWeight = 10
 	// unitVariance is the variance at which a measurement has weight 1.
 	unitVariance = 0.04
+	// fullLogRatio is the logarithm of how much longer a measurement may be than its
+	// baseline to count in full, so that the noise of a moment counts less than a speed
+	// that stays low.
+	fullLogRatio = 0.5
 	// maxLogRatio bounds the logarithm of how far a measurement may differ from its
 	// baseline.
 	maxLogRatio = 0.9
@@ -41,8 +51,8 @@
 
 // relativeLoad is the load of an upstream under which a measurement is made.
 type relativeLoad struct {
-	// slots is the share of the slots in use, and prefill the share of the time that an
-	// engine of mean speed takes to prefill the arriving prompts.
+	// slots is the share of the slots in use. prefill is the logarithm of the factor by
+	// which an engine of mean speed is slower because it prefills the arriving prompts.
 	slots, prefill float64
 }
 
@@ -55,7 +65,7 @@
 // from an idle upstream to one that is fully used.
 func (k measurementKind) assumedSlopes() relativeLoad {
 	if k == eventGap {
-		return relativeLoad{slots: 0.4, prefill: 0.7}
+		return relativeLoad{slots: 0.4, prefill: 1}
 	}
 	return relativeLoad{}
 }
@@ -67,7 +77,8 @@
 	sum, products, withY relativeLoad
 	sumMixed             float64
 	// squares is the sum of the squared residuals.
-	squares float64
+	squares    float64
+	recordedAt time.Time
 }
 
 // slopes returns the slopes of the fit.
@@ -104,15 +115,16 @@
 // record adds a measurement at a load. known is what is already known of how far the
 // upstream differs from the others. It returns the difference from the baseline and the
 // weight of the measurement, which is zero while too few measurements are known.
-func (b *baseline) record(load relativeLoad, value, known float64, assumed relativeLoad) (difference, weight float64) {
+func (b *baseline) record(now time.Time, load relativeLoad, value, known float64, assumed relativeLoad) (difference, weight float64) {
 	adjusted, residual := value-known, 0.0
 	if expected, ok := b.expected(load, assumed); ok {
-		difference = bounded(value-expected, maxLogRatio)
+		difference = bounded(compressed(value-expected), maxLogRatio)
 		weight = min(1, unitVariance/b.variance())
 		residual = bounded(adjusted-expected, maxLogRatio)
 		adjusted = expected + residual
 	}
-	b.scale(baselineDecay)
+	b.scale(max(baselineDecay, math.Exp(-max(0, now.Sub(b.recordedAt).Seconds())/baselineWindow.Seconds())))
+	b.recordedAt = now
 	b.weight++
 	b.sumY += adjusted
 	b.sum.slots += load.slots
@@ -139,5 +151,10 @@
 // bounded returns the value, or the bound with the sign of the value if it is beyond it.
 func bounded(value, bound float64) float64 { return min(bound, max(-bound, value)) }
 
+// compressed returns a difference of which only half counts above fullLogRatio.
+func compressed(difference float64) float64 {
+	return difference - max(0, difference-fullLogRatio)/2
+}
+
 // logMilliseconds returns the logarithm of a duration in milliseconds.
 func logMilliseconds(ms float64) float64 { return math.Log(max(0.01, ms)) }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -170,7 +170,7 @@
 	maxKeyBytes     = 5
 	maxDomainBytes  = 14
 	maxIntBytes     = 5
-	// maxSumBytes is the size of a weight or sum of measurements.
+	// maxSumBytes is the size of a weight or sum of measurements in range.
 	maxSumBytes = 3
 )
 
@@ -225,7 +225,7 @@
 		key, ok := r.firstKey()
 		size += maxLoadBytes + downQuorum*maxKeyBytes
 		if len(r.Loads) > 0 && r.Loads[0].Upstream == key {
-			size += maxSumBytes * len(r.Loads[0].Speed)
+			size += sumBytes(r.Loads[0].Speed)
 		}
 		if !ok || size > maxBytes {
 			return
@@ -239,6 +239,24 @@
 	}
 }
 
+// sumBytes returns the size of encoded sums of measurements.
+func sumBytes(list []int) int {
+	size := 0
+	for _, v := range list {
+		switch {
+		case v >= -24 && v < 24:
+			size++
+		case v >= -256 && v < 256:
+			size += 2
+		case v >= -1<<16 && v < 1<<16:
+			size += maxSumBytes
+		default:
+			size += maxIntBytes
+		}
+	}
+	return size
+}
+
 // firstKey returns the lowest key of the loads and the upstreams that are down. If
 // there is none, it returns false and a key that no upstream has.
 func (r *Report) firstKey() (UpstreamKey, bool) {
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -19,10 +19,21 @@
 	// minRelativeSpeed and maxRelativeSpeed bound the estimated speed.
 	minRelativeSpeed = 0.25
 	maxRelativeSpeed = 2.0
-	// peakWindow is the time constant with which the highest weight of an upstream's
-	// measurements decays. An upstream whose weight falls below half of it gets no
-	// measurements any more, and its estimate is discarded step by step.
-	peakWindow = 20 * time.Second
+	// minUsedWeight is the weight below which measurements are ignored.
+	minUsedWeight = 0.1
+	// newWeightFactor times the weight that is left of earlier measurements, plus
+	// minNewWeight, is the weight from which there are new ones. Sums in reports are
+	// rounded and up to 1.25 s old.
+	newWeightFactor = 1.37
+	minNewWeight    = 0.2
+	// sparseWeight is the weight of measurements up to which they are kept for
+	// sparseWindow instead of speedWindow.
+	sparseWeight = 6.0
+	sparseWindow = 10 * time.Second
+	// unmeasuredAfter is the time without measurements after which an estimate is discarded
+	// step by step, with the time constant discardWindow.
+	unmeasuredAfter = 3 * time.Second
+	discardWindow   = 3 * time.Second
 	// foreignSumsDelay is how long, after an upstream's process was first listed, other
 	// hosts may still report measurements of the process before.
 	foreignSumsDelay = 3 * time.Second
@@ -49,7 +60,10 @@
 	// keeps what was known before.
 	bands       [loadBands]bandSum
 	estimatedAt time.Time
-	peakWeight  float64
+	// measuredAt is when the last measurement was known.
+	measuredAt time.Time
+	// decayedWeight is what is left at estimatedAt of the weight known at measuredAt.
+	decayedWeight float64
 	// difference is the mean logarithm of the upstream's durations relative to the
 	// baseline, and confidence how much of it counts.
 	difference, confidence float64
@@ -109,23 +123,42 @@
 	t.speedSums.decay(now)
 	known := &t.learned
 	age := now.Sub(known.estimatedAt)
-	factor := speedDecay(age)
-	total := 0.0
+	factor, total := known.retention(age), 0.0
 	for i := range known.bands {
 		b := t.bandTotal(now, i)
+		total += b.weight
 		old := &known.bands[i]
 		if missing := old.weight*factor - b.weight; missing > 0 {
 			b.sum += missing * old.sum / old.weight
 			b.weight += missing
 		}
 		*old = b
-		total += b.weight
 	}
-	known.peakWeight = max(total, known.peakWeight*math.Exp(-max(0, age.Seconds())/peakWindow.Seconds()))
+	known.noteWeight(now, total, speedDecay(age))
 	known.growLimit(age)
 	known.estimatedAt = now
 }
 
+// noteWeight finds out from the weight of the reported measurements whether there are new
+// ones. decay is the factor by which measurements decayed since the last call.
+func (k *learned) noteWeight(now time.Time, weight, decay float64) {
+	k.decayedWeight *= decay
+	if weight > newWeightFactor*k.decayedWeight+minNewWeight {
+		k.measuredAt, k.decayedWeight = now, weight
+	}
+	k.decayedWeight = min(k.decayedWeight, weight)
+}
+
+// retention returns the factor by which what is known decays in a time, unless there are
+// newer measurements.
+func (k *learned) retention(age time.Duration) float64 {
+	window := speedWindow
+	if k.below(loadBands).weight <= sparseWeight {
+		window = sparseWindow
+	}
+	return math.Exp(-max(0, age.Seconds()) / window.Seconds())
+}
+
 // bandTotal returns the sums of all hosts in one load band.
 func (t *target) bandTotal(now time.Time, i int) bandSum {
 	b := t.speedSums.bands[i]
@@ -206,13 +239,13 @@
 		used = lower
 	}
 	k.difference, k.confidence = 0, 0
-	if used.weight < weightUnit/2 {
+	if used.weight < minUsedWeight {
 		return
 	}
 	k.difference = used.sum / used.weight
 	k.confidence = used.weight / (used.weight + priorWeight)
-	if k.peakWeight > 0 {
-		k.confidence *= min(1, 2*k.below(loadBands).weight/k.peakWeight)
+	if unmeasured := k.estimatedAt.Sub(k.measuredAt) - unmeasuredAfter; unmeasured > 0 {
+		k.confidence *= math.Exp(-unmeasured.Seconds() / discardWindow.Seconds())
 	}
 }
 
--- a/dispatch/speedclass.go
+++ b/dispatch/speedclass.go
@@ -13,10 +13,9 @@
 	// classMargin is the factor by which the speed has to be above the bound of a class
 	// to leave it.
 	classMargin = 1.15
-	// slowerAfter and fasterAfter are how long the speed has to call for another class
-	// before it changes. A change moves prefixes to other engines.
-	slowerAfter = 1500 * time.Millisecond
-	fasterAfter = 3 * time.Second
+	// classChangeDelay is how long the speed has to call for another class before it
+	// changes. A change moves prefixes to other engines.
+	classChangeDelay = 3 * time.Second
 )
 
 // slowness is a coarse class of speed.
@@ -78,11 +77,7 @@
 	if c.changingSince.IsZero() {
 		c.changingSince = now
 	}
-	delay := slowerAfter
-	if next < c.current {
-		delay = fasterAfter
-	}
-	if now.Sub(c.changingSince) >= delay {
+	if now.Sub(c.changingSince) >= classChangeDelay {
 		c.current, c.changingSince = next, time.Time{}
 	}
 }
--- a/dispatch/speedsums.go
+++ b/dispatch/speedsums.go
@@ -70,11 +70,11 @@
 
 // Units of the sums in reports.
 const (
-	weightUnit     = 0.25
-	differenceUnit = 1.0 / 16
+	weightUnit     = 1.0 / 16
+	differenceUnit = 1.0 / 32
 	// maxWeightUnits bounds the weight in a report, so that neither of the two sums takes
 	// more than maxSumBytes.
-	maxWeightUnits = 16000
+	maxWeightUnits = 32000
 )
 
 // reportedBand is a bandSum in the units of reports. Integers can be added and subtracted
