Set until when an upstream is cold by its entry

Hosts decoded how long an upstream stays cold when it writes its entry, but nothing said until when that is, so nobody could hold requests back.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -29,6 +29,9 @@
 	// an earlier epoch.
 	Revision uint64 `json:"revision"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	// Age is the time since the first host read an entry that says that its upstream is cold. It
+	// is encoded in nanoseconds, and zero in other entries.
+	Age time.Duration `json:"age,omitempty"`
 }
 
 // TableEntry is the entry of the routing table in the store.
@@ -241,6 +244,8 @@
 	if c.wasDraining(u) {
 		u.State = route.Draining
 	}
+	u.ColdUntil = c.coldUntil(now, e, u)
+	e.Age = 0
 	c.upstreams[e.ID] = u
 	c.departures.remove(e.ID)
 	c.entries[e.ID] = e
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -23,19 +23,24 @@
 
 func (testDecoder) DecodeTable(raw []byte) (*route.Table, error) {
 	var version uint64
-	if _, err := fmt.Sscanf(string(raw), "table %d", &version); err != nil {
+	var coldTime time.Duration
+	if n, err := fmt.Sscanf(string(raw), "table %d %d", &version, &coldTime); n < 1 {
 		return nil, err
 	}
-	return route.NewTable(plan.Version(version), route.Limits{}, nil, nil, nil), nil
+	services := []*route.Service{{ID: "s", ColdStart: coldTime * time.Second}}
+	return route.NewTable(plan.Version(version), route.Limits{}, nil, services, nil), nil
 }
 
 func (testDecoder) DecodeUpstream(id plan.UpstreamID, position route.Position, raw []byte) (*route.Upstream, error) {
 	var state string
 	var born, sequence int64
-	if _, err := fmt.Sscanf(string(raw), "%s %d %d", &state, &born, &sequence); err != nil {
+	u := &route.Upstream{ID: id, Service: "s", Position: position}
+	// The domain and the rest of the cold time may be absent.
+	if n, err := fmt.Sscanf(string(raw), "%s %d %d %s %d", &state, &born, &sequence, &u.Domain, &u.ColdRemaining); n < 3 {
 		return nil, err
 	}
-	u := &route.Upstream{ID: id, StartedAt: time.UnixMilli(born), Sequence: sequence, Position: position}
+	u.StartedAt, u.Sequence = time.UnixMilli(born), sequence
+	u.ColdRemaining *= time.Second
 	if state == "draining" {
 		u.State = route.Draining
 	}
@@ -51,6 +56,13 @@
 	return Entry{ID: plan.UpstreamID(id), Value: fmt.Appendf(nil, "%s %d %d", state, born, sequence), Revision: revision}
 }
 
+// coldItem returns the entry of an upstream that is cold for some more seconds.
+func coldItem(id string, revision uint64, sequence, coldSeconds int64) Entry {
+	e := sequencedItem(id, revision, "ready", 1, sequence)
+	e.Value = fmt.Appendf(e.Value, " z %d", coldSeconds)
+	return e
+}
+
 func removedItem(id string, revision uint64) Entry {
 	return Entry{ID: plan.UpstreamID(id), Revision: revision, Deleted: true}
 }
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -60,6 +60,7 @@
 	full := since.IsZero()
 	for _, e := range c.entries {
 		if full || e.Revision > since.Revision {
+			e.Age = c.entryAge(now, e.ID)
 			s.Upstreams = append(s.Upstreams, e)
 		}
 	}
