Keep the evacuated failure domains in the catalog

The store may hold an entry that evacuates a failure domain. Nothing kept it, so requests went on to the upstreams of that domain.

The catalog now keeps the last change of each domain's evacuation by its position.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -67,6 +67,8 @@
 	upstreams map[plan.UpstreamID]*route.Upstream
 	// departures holds the upstreams that were removed.
 	departures departures
+	// evacuations holds the failure domains that are or were evacuated.
+	evacuations evacuations
 	// graceDeadlines holds when each missing upstream is removed.
 	graceDeadlines map[plan.UpstreamID]time.Time
 	// failedAt is when the store last failed; recoveredAt is when it then served
@@ -90,7 +92,7 @@
 func New(d Decoder) *Catalog {
 	return &Catalog{
 		decoder: d, entries: map[plan.UpstreamID]Entry{}, revisions: map[plan.UpstreamID]uint64{}, upstreams: map[plan.UpstreamID]*route.Upstream{},
-		graceDeadlines: map[plan.UpstreamID]time.Time{}, departures: newDepartures(),
+		graceDeadlines: map[plan.UpstreamID]time.Time{}, departures: newDepartures(), evacuations: newEvacuations(),
 	}
 }
 
@@ -155,56 +157,13 @@
 	c.departures.beginEpoch(began)
 }
 
-// FullRead is all that the store held at one position.
-type FullRead struct {
-	AsOf route.Position
-	// Table is nil if the store holds none.
-	Table     *TableEntry
-	Upstreams []Entry
-}
-
-// ApplyFullRead applies a full read of the store. It ignores one of an earlier
-// epoch, and reports whether it did.
-func (c *Catalog) ApplyFullRead(now time.Time, r FullRead) (changed Changes, stale bool) {
-	if r.AsOf.Epoch < c.position.Epoch {
-		return changed, true
-	}
-	if r.AsOf.Epoch > c.position.Epoch {
-		c.beginEpoch(now, r.AsOf.Epoch)
-	}
-	if r.Table != nil {
-		changed.Table = c.ApplyTable(now, *r.Table)
-	}
-	changed.Upstreams = c.replace(now, r.Upstreams, r.AsOf.Revision)
-	return changed, false
-}
-
-// replace applies the entries of all upstreams as of a revision of the present
-// epoch. It reports whether the upstreams changed. What came and left between the
-// last position and that revision remains unknown.
-func (c *Catalog) replace(now time.Time, entries []Entry, revision uint64) bool {
-	changed := false
-	if revision > c.position.Revision {
-		c.completeSince = revision
-	}
-	seen := make(map[plan.UpstreamID]bool, len(entries))
-	for _, e := range entries {
-		seen[e.ID] = true
-		changed = c.ApplyUpstream(now, e) || changed
-	}
-	for id := range c.upstreams {
-		if !seen[id] && c.revisions[id] <= revision {
-			c.revisions[id] = revision
-			changed = c.handleMissing(now, id) || changed
-		}
-	}
-	c.Advance(revision)
-	return changed
+// Advance records that all changes of the present epoch up to a revision were applied.
+func (c *Catalog) Advance(revision uint64) {
+	c.advancePosition(revision)
+	c.evacuations.advance(route.Position{Epoch: c.position.Epoch, Revision: revision})
 }
 
-// Advance records that the catalog is complete up to a revision of the present
-// epoch.
-func (c *Catalog) Advance(revision uint64) {
+func (c *Catalog) advancePosition(revision uint64) {
 	c.position.Revision = max(c.position.Revision, revision)
 }
 
@@ -324,9 +283,9 @@
 	delete(c.entries, id)
 }
 
-// Expire removes the upstreams whose grace period has ended, and takes those into
-// use whose entries were held back for long enough. It reports whether there were
-// any.
+// Expire removes the upstreams whose grace period has ended, takes those into use
+// whose entries were held back for long enough, and ends evacuations that were held
+// for long enough. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
 	changed := false
 	for id, deadline := range c.graceDeadlines {
@@ -339,14 +298,5 @@
 	for _, e := range c.departures.takeReleased(now) {
 		changed = c.adopt(now, e) || changed
 	}
-	return changed
-}
-
-// Upstreams returns the upstreams as an immutable value.
-func (c *Catalog) Upstreams() *route.Upstreams {
-	v := &route.Upstreams{Position: c.position, ByID: make(map[plan.UpstreamID]*route.Upstream, len(c.upstreams))}
-	for id, u := range c.upstreams {
-		v.ByID[id] = u
-	}
-	return v
+	return c.evacuations.expire(now, c.endedRetention()) || changed
 }
--- a/catalog/removal_test.go
+++ b/catalog/removal_test.go
@@ -127,7 +127,7 @@
 	apply(follower, start, serverItem("c", 5, "ready", 1))
 	follower.Advance(5)
 	want := Snapshot{AsOf: rev(5), Since: rev(3), TableAge: start.Sub(time.Time{}), EpochAge: start.Sub(time.Time{}),
-		Upstreams: []Entry{serverItem("c", 5, "ready", 1), removedItem("b", 4)}}
+		Upstreams: []Entry{serverItem("c", 5, "ready", 1), removedItem("b", 4)}, Evacuations: &EvacuationList{AsOf: rev(5)}}
 	if diff := cmp.Diff(want, follower.SnapshotSince(start, rev(3), 0)); diff != "" {
 		t.Error(diff)
 	}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -27,6 +27,9 @@
 	// Missing lists the upstreams whose entries are missing and which will be
 	// removed at the end of their grace period.
 	Missing []MissingUpstream `json:"missing,omitempty"`
+	// Evacuations holds all evacuations. It is nil in snapshots of hosts that know of none
+	// because they run an older version or have read nothing yet.
+	Evacuations *EvacuationList `json:"evacuations,omitempty"`
 }
 
 // MissingUpstream is an upstream whose entry went missing soon after a failure
@@ -46,7 +49,7 @@
 	if since.Epoch < c.position.Epoch {
 		since = route.Position{}
 	}
-	s := Snapshot{AsOf: c.position, TableAge: now.Sub(c.tableReadAt), EpochAge: now.Sub(c.epochBeganAt)}
+	s := Snapshot{AsOf: c.position, TableAge: now.Sub(c.tableReadAt), EpochAge: now.Sub(c.epochBeganAt), Evacuations: c.evacuations.list(now)}
 	if c.table != nil && (c.table.Version > table || c.tableEntry.Position.After(since)) {
 		s.Table = &c.tableEntry
 	}
@@ -80,8 +83,8 @@
 	return route.Position{Epoch: c.position.Epoch, Revision: c.completeSince}
 }
 
-// Merge applies another host's snapshot. A table counts by its version. The rest
-// of a snapshot is ignored if it is not newer than the local state, or if it
+// Merge applies another host's snapshot. A table counts by its version, and evacuations
+// by their positions. The rest of a snapshot is ignored if it is not newer than the local state, or if it
 // starts after the local position, which would leave a gap.
 func (c *Catalog) Merge(now time.Time, s Snapshot) Changes {
 	var changed Changes
@@ -89,14 +92,16 @@
 		changed.Table = true
 		c.tableReadAt = now.Add(-max(0, s.TableAge))
 	}
+	evacuated := s.Evacuations != nil && c.evacuations.merge(now, s.Evacuations)
 	if !c.continues(s) {
+		changed.Upstreams = evacuated
 		return changed
 	}
 	if s.AsOf.Epoch > c.position.Epoch {
 		c.beginEpoch(now.Add(-max(0, s.EpochAge)), s.AsOf.Epoch)
 	}
-	changed.Upstreams = c.mergeUpstreams(now, s)
-	c.Advance(s.AsOf.Revision)
+	changed.Upstreams = c.mergeUpstreams(now, s) || evacuated
+	c.advancePosition(s.AsOf.Revision)
 	return changed
 }
 
