Bound watches of the store by the time for evacuations

A first reader lets a watch wait for three quarters of the time in which tables take effect. Where that time is long, a store or link that went silent would be noticed only after an evacuation has to be in force everywhere. The watch now waits for at most 0.6 of that time too.

A gauge counts the evacuated domains, and the line of a listed upstream says whether it is evacuated.

TestEvacuationWaitsFitIntoTheirBound failed before for tables within a minute: the sum was over 50 s.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -40,6 +40,9 @@
 	// first reader of a domain without an event, which limits how long a lost
 	// response goes unnoticed.
 	watchPeriodFactor = 0.75
+	// evacuationPeriodFactor does the same for the time within which an evacuation must
+	// take effect. It leaves more time, since that bound also holds if the store goes silent.
+	evacuationPeriodFactor = 0.6
 	// memoryLimitFraction is the fraction of the machine's memory that is set as
 	// the soft memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
@@ -142,7 +145,11 @@
 
 // watchPeriod returns how long the store may hold a watch without an event.
 func watchPeriod(b setting.EdgeBounds) time.Duration {
-	return time.Duration(watchPeriodFactor * float64(b.MaxApplyDelay))
+	period := time.Duration(watchPeriodFactor * float64(b.MaxApplyDelay))
+	if b.MaxEvacuationDelay > 0 {
+		period = min(period, time.Duration(evacuationPeriodFactor*float64(b.MaxEvacuationDelay)))
+	}
+	return period
 }
 
 func (h *Host) buildGossip() error {
@@ -238,6 +245,7 @@
 	})
 	h.metrics.NewGauge("mulberrydyke_rate_limited_upstreams", func() float64 { return float64(h.rateLimits.Count(time.Now())) })
 	h.metrics.NewGauge("mulberrydyke_draining_upstreams_told", func() float64 { return float64(h.drains.Count()) })
+	h.metrics.NewGauge("mulberrydyke_evacuated_domains", func() float64 { return float64(h.reader.EvacuatedDomains()) })
 	h.metrics.NewGauge("mulberrydyke_table_version", func() float64 {
 		table, _ := h.Versions()
 		return float64(table)
--- /dev/null
+++ b/edge/evacuation_test.go
@@ -0,0 +1,44 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// TestEvacuatedDomainGetsNoRequests guards against requests that reach an upstream of an evacuated
+// failure domain after the bound, ones that are refused though another domain could serve them,
+// and a domain that gets none after it was taken back.
+func TestEvacuatedDomainGetsNoRequests(t *testing.T) {
+	own, other := newDrainingUpstream(t), newDrainingUpstream(t)
+	store := newMutableStore(t, releaseTable)
+	store.list("own", own.address())
+	store.put("servers/other", fmt.Sprintf(`{"service":"pool","address":%q,"zone":"b","version":"v","slots":4,"state":"ready","coldRemainingMs":0,"sequence":1}`, other.address()))
+	urls := startFleet(t, 3, store.address())
+	// received sends requests for a second and returns how many reached an upstream.
+	received := func(u *drainingUpstream) int {
+		u.mu.Lock()
+		before := len(u.received)
+		u.mu.Unlock()
+		if failed := sendFor(t, urls, 60, time.Second); failed > 0 {
+			t.Errorf("%d requests were not served", failed)
+		}
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return len(u.received) - before
+	}
+	if n := received(own); n == 0 {
+		t.Error("no request reached the upstream before the evacuation")
+	}
+	store.put("op/evacuate/a", "{}")
+	time.Sleep(evacuationBound)
+	if n := received(own); n > 0 {
+		t.Errorf("%d requests reached the evacuated upstream", n)
+	}
+	store.put("op/evacuate/a", "")
+	for deadline := time.Now().Add(evacuationBound); received(own) == 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("no request reached the upstream after the domain was taken back")
+		}
+	}
+}
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -81,7 +81,7 @@
 	}
 	for _, u := range listed {
 		h.log.Info("upstream listed", "upstream", string(u.ID), "service", string(u.Service), "leaving", u.State == route.Draining,
-			"address", u.Address, "epoch", uint64(u.Position.Epoch), "revision", u.Position.Revision)
+			"evacuated", u.State == route.Evacuated, "address", u.Address, "epoch", uint64(u.Position.Epoch), "revision", u.Position.Revision)
 	}
 	for _, id := range gone {
 		h.log.Info("upstream gone", "upstream", string(id), "epoch", uint64(after.Position.Epoch), "revision", after.Position.Revision)
--- a/edge/waits_test.go
+++ b/edge/waits_test.go
@@ -17,6 +17,9 @@
 	// applyBound is the time from the acknowledgement of a table until all hosts go by
 	// it.
 	applyBound = 2 * time.Second
+	// evacuationBound is the time from the acknowledgement of an evacuation until no request
+	// reaches an upstream of the failure domain.
+	evacuationBound = 5 * time.Second
 )
 
 // TestWaitsFitIntoTheBounds checks that the waits on each path from a change in the
@@ -36,3 +39,23 @@
 		}
 	}
 }
+
+// TestEvacuationWaitsFitIntoTheirBound checks that the waits from the acknowledgement of an
+// evacuation to the last host add up to less than the platform's bound, also if the readers of a
+// domain were killed or the store was silent, and where tables may take long.
+func TestEvacuationWaitsFitIntoTheirBound(t *testing.T) {
+	for _, apply := range []time.Duration{applyBound, time.Minute} {
+		period := watchPeriod(setting.EdgeBounds{MaxApplyDelay: apply, MaxEvacuationDelay: evacuationBound})
+		notice := platform.NoticeTime(period)
+		last := platform.GatherTime(period) + gossip.SpreadTime
+		for path, sum := range map[string]time.Duration{
+			"in calm":                      last,
+			"all readers of a domain gone": gossip.TakeoverTime + last,
+			"the store or its link silent": notice + last,
+		} {
+			if sum > evacuationBound {
+				t.Errorf("%s, tables within %v: %v, want at most %v", path, apply, sum, evacuationBound)
+			}
+		}
+	}
+}
