Let a process that was paused catch up before it sends requests

A process that was paused over an evacuation sent the requests that it found waiting to the evacuated domain as soon as it ran again, however long ago the evacuation was acknowledged.

The last check before a send now waits for a second after the process gave no sign of life for half of the time in which evacuations take effect. Meanwhile the host hears of newer lists and fetches them, and the check goes by these. Only platforms that set that time are affected. A pause is logged.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -85,6 +85,7 @@
 	metrics      *metrics.Set
 	table        atomic.Pointer[route.Table]
 	upstreams    upstreamList
+	pause        *pauseGuard
 	stopping     atomic.Bool
 	startedAt    time.Time
 	callerServer *http.Server
@@ -100,6 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet(), startedAt: time.Now()}
 	h.upstreams.init()
+	h.pause = newPauseGuard(h.startedAt, s.Bounds.MaxEvacuationDelay)
 	h.bounds.Store(&s.Bounds)
 	if err := h.build(ctx); err != nil {
 		h.close()
@@ -137,6 +139,7 @@
 	if err := h.buildGossip(); err != nil {
 		return err
 	}
+	h.goTask(func() { h.watchPauses(ctx) })
 	h.goTask(func() { reader.Run(ctx) })
 	h.goTask(func() { h.gossipNode.Run(ctx) })
 	go h.gossipNode.Receive()
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -52,7 +52,12 @@
 	})
 }
 
+// lookupUpstream returns an upstream as it is in force now, or nil. If the process was paused, it
+// waits until the changes that it missed may be in force.
 func (h *Host) lookupUpstream(id plan.UpstreamID) *route.Upstream {
+	for hold := h.checkPause(); hold > 0; hold = h.checkPause() {
+		time.Sleep(hold)
+	}
 	return h.upstreams.inForce.Load().ByID[id]
 }
 
