Test that callers are told when to come back while all domains are evacuated

The test of evacuations ends with all domains evacuated: callers get 503 with Retry-After. It passed when it was added; nothing guarded against a refusal without a time.

--- a/edge/evacuation_test.go
+++ b/edge/evacuation_test.go
@@ -2,13 +2,15 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 )
 
 // TestEvacuatedDomainGetsNoRequests guards against requests that reach an upstream of an evacuated
 // failure domain after the bound, ones that are refused though another domain could serve them,
-// and a domain that gets none after it was taken back.
+// a domain that gets none after it was taken back, and callers that are not told when to come back
+// while no domain serves them.
 func TestEvacuatedDomainGetsNoRequests(t *testing.T) {
 	own, other := newDrainingUpstream(t), newDrainingUpstream(t)
 	store := newMutableStore(t, releaseTable)
@@ -41,4 +43,18 @@
 			t.Fatal("no request reached the upstream after the domain was taken back")
 		}
 	}
+	store.put("op/evacuate/a", "{}")
+	store.put("op/evacuate/b", "{}")
+	time.Sleep(evacuationBound)
+	r, _ := http.NewRequest(http.MethodGet, urls[0], nil)
+	r.Host = "127.0.0.4"
+	r.Header.Set("Request-Id", "last")
+	response, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d and the time %q to come back while all domains are evacuated", response.StatusCode, response.Header.Get("Retry-After"))
+	}
 }
