--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -62,7 +62,7 @@
 		return nil
 	}
 	speed, baseLatency := g.prefillTiming()
-	wait := time.Duration((t.queueWait(now, speed) + baseLatency) * float64(time.Millisecond))
+	wait := time.Duration((t.queueWait(now, speed) + baseLatency/t.relativeSpeed()) * float64(time.Millisecond))
 	if wait <= limit {
 		return nil
 	}
--- a/dispatch/speedsums.go
+++ b/dispatch/speedsums.go
@@ -20,6 +20,10 @@
 
 const loadBands = 4
 
+// MaxSpeedSums is the number of weights and sums of measurements that a report has of one
+// upstream at the most.
+const MaxSpeedSums = 2 * loadBands
+
 // loadBandOf returns the band of a share of the slots in use.
 func loadBandOf(load float64) int {
 	band := 0
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -249,6 +249,7 @@
 	h.metrics.NewGauge("mulberrydyke_rate_limited_upstreams", func() float64 { return float64(h.rateLimits.Count(time.Now())) })
 	h.metrics.NewGauge("mulberrydyke_draining_upstreams_told", func() float64 { return float64(h.drains.Count()) })
 	h.metrics.NewGauge("mulberrydyke_evacuated_domains", func() float64 { return float64(h.reader.EvacuatedDomains()) })
+	h.metrics.NewGauge("mulberrydyke_slow_upstreams", func() float64 { return float64(h.balancer.SlowUpstreams()) })
 	h.metrics.NewGauge("mulberrydyke_table_version", func() float64 {
 		table, _ := h.Versions()
 		return float64(table)
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -193,9 +193,9 @@
 // none for some time.
 var errUpstreamPaused = errors.New("upstream takes no requests for some time")
 
-// errUpstreamDraining reports an upstream that began to shut down, or was removed
-// from the list, before the request was sent.
-var errUpstreamDraining = errors.New("upstream is draining or was removed")
+// errUpstreamDraining reports an upstream that began to shut down, was evacuated, or was
+// removed from the list, before the request was sent.
+var errUpstreamDraining = errors.New("upstream is draining, evacuated or was removed")
 
 // reroute matches the request again if there is a newer routing table. It returns
 // false if that table no longer allows the request, or to resume a stream of which
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -25,8 +25,7 @@
 	for first := true; ; first = false {
 		e, err := events.next()
 		if err == io.EOF && !first {
-			span := x.lastEventAt.Sub(x.attemptFirstEvent)
-			x.server.Balancer.RecordStream(x.server.Now(), lease, x.events-eventsBefore-1, span)
+			x.recordStream(lease, eventsBefore)
 			x.finishStream(ctx, lease, upstreamEx)
 			return attemptFinal
 		}
@@ -35,6 +34,7 @@
 		}
 		if err != nil {
 			upstreamEx.Close()
+			x.recordStream(lease, eventsBefore)
 			x.endAttempt(ctx, lease, dispatch.Broken, upstreamEx.BodyError(err))
 			return x.afterInterruption(ctx)
 		}
@@ -47,12 +47,20 @@
 		if !x.writeEvent(upstreamEx, e) {
 			upstreamEx.Close()
 			x.cause = "caller disconnected"
+			x.recordStream(lease, eventsBefore)
 			x.server.Balancer.Release(x.server.Now(), lease, dispatch.Abandoned)
 			return attemptFinal
 		}
 	}
 }
 
+// recordStream records how fast the events of the last attempt came. eventsBefore counts the events
+// of earlier attempts.
+func (x *exchange) recordStream(lease *dispatch.Lease, eventsBefore int) {
+	span := x.lastEventAt.Sub(x.attemptFirstEvent)
+	x.server.Balancer.RecordStream(x.server.Now(), lease, x.events-eventsBefore-1, span)
+}
+
 // follows reports whether an event may follow those that the caller has. In a
 // resumed stream only its ID can show that.
 func (x *exchange) follows(e event, resumed bool) bool {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -244,6 +244,9 @@
 
 func validateReport(r *dispatch.Report) error {
 	for _, l := range r.Loads {
+		if len(l.Speed) > dispatch.MaxSpeedSums {
+			return &DecodeError{Reason: "too many measurements of an upstream"}
+		}
 		if l.Short < 0 || l.Long < 0 || l.Plain < 0 || l.PendingTokens < 0 {
 			return &DecodeError{Reason: "negative load"}
 		}
