--- a/cmd/mulberrydyke/check.go
+++ b/cmd/mulberrydyke/check.go
@@ -14,20 +14,33 @@
 
 func checkCommand() *cobra.Command {
 	var settings, plans, entitlements, upstreams, hosts string
+	var table tableCheck
 	c := &cobra.Command{
 		Use:   "check",
 		Short: "Checks settings and lists without running anything.",
 		Long: `Checks settings and lists without running anything.
 
-Exit statuses: 0 all valid, 2 invalid settings, 3 an invalid list.`,
-		Example: "  mulberrydyke check --plans plans.json --entitlements entitlements.json",
-		Args:    cobra.NoArgs,
+With --table, it checks the operators' configuration of the platform instead of
+the product's own lists, and prints one finding per line. With --in-force, it also
+prints the differences from the version in force.
+
+Exit statuses: 0 all valid, 2 invalid settings, wrong arguments or an unreadable
+configuration, 3 an invalid list or a configuration with errors.`,
+		Example: "  mulberrydyke check --plans plans.json --entitlements entitlements.json\n" +
+			"  mulberrydyke check --table next.json --in-force current.json",
+		Args: func(c *cobra.Command, args []string) error { return asArgumentError(cobra.NoArgs(c, args)) },
 		RunE: func(c *cobra.Command, _ []string) error {
 			if settings != "" {
 				if _, err := setting.Load(settings); err != nil {
 					return err
 				}
 			}
+			if err := table.checkArguments(plans + entitlements + upstreams + hosts); err != nil {
+				return err
+			}
+			if table.file != "" {
+				return table.run(c.OutOrStdout())
+			}
 			state := plan.NewState()
 			for kind, file := range map[plan.ListKind]string{
 				plan.KindPlans: plans, plan.KindEntitlements: entitlements,
@@ -53,6 +66,10 @@
 	flags.StringVar(&entitlements, "entitlements", "", "file with the list of entitlements of each plan")
 	flags.StringVar(&upstreams, "upstreams", "", "file with the platform's list of upstreams")
 	flags.StringVar(&hosts, "hosts", "", "file with the platform's list of hosts")
+	flags.StringVar(&table.file, "table", "", "file with the operators' configuration of the platform")
+	flags.StringVar(&table.inForce, "in-force", "", "file with the configuration in force, to compare --table with")
+	flags.BoolVar(&table.asJSON, "json", false, "print the findings about --table as JSON")
+	c.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return asArgumentError(err) })
 	return c
 }
 
--- a/cmd/mulberrydyke/main.go
+++ b/cmd/mulberrydyke/main.go
@@ -33,7 +33,8 @@
 		Short: "Routes language-model traffic with service levels and priorities.",
 		Long: `Routes language-model traffic with service levels and priorities.
 
-Exit statuses: 0 success, 1 failure, 2 invalid settings, 3 invalid lists.`,
+Exit statuses: 0 success, 1 failure, 2 invalid settings, 3 invalid lists or
+configuration.`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
@@ -50,12 +51,14 @@
 	var settingsErr *setting.Error
 	var valueErr *plan.ValueError
 	var decodeErr *plan.DecodeError
+	var argumentErr *argumentError
+	var findingsErr *findingsError
 	switch {
 	case err == nil:
 		return exitOK
-	case errors.As(err, &settingsErr):
+	case errors.As(err, &settingsErr), errors.As(err, &argumentErr):
 		return exitSettings
-	case errors.As(err, &valueErr), errors.As(err, &decodeErr):
+	case errors.As(err, &valueErr), errors.As(err, &decodeErr), errors.As(err, &findingsErr):
 		return exitLists
 	}
 	return exitFailed
