Blame a prompt part only if it stands out among the suspects

Callers saw sound requests refused for a minute or more after several engines had ended within a second for another reason: "a request like this crashed upstreams". The cause: three crashes 200 ms apart were enough to blame a part, also if other parts had the same crashes, if upstreams without the part had crashed meanwhile, or if no answer could have cleared it yet.

A part now has to explain all crashes from its first to its last, no other part may have all of them, and another part must have been cleared of three of them by requests that began within a second after. Otherwise its crashes have to span 1.5 s, which upstreams that end together do not, and which keeps a part bounded that can't be told from others.

TestCrashesForAnotherReasonBlameNoPart (all four cases) failed before.

--- a/quarantine/attribution.go
+++ b/quarantine/attribution.go
@@ -20,12 +20,15 @@
 // others. Among suspects with as many crashes, the one that has not been harmless for
 // longest comes first, then the one that covers more of a request, since that keeps out
 // fewer requests.
-func attribute(now time.Time, suspects map[Key]*suspect) attribution {
+func attribute(now time.Time, suspects map[Key]*suspect, cleared clearedCrashes) attribution {
 	out := attribution{causes: map[Key]bool{}}
-	times := crashTimes(suspects)
+	e := newEvidence(suspects, cleared)
 	var keys []Key
 	for k, s := range suspects {
-		at, enough := s.settledAt(times)
+		if len(s.crashes) < s.crashLimit() {
+			continue
+		}
+		at, enough := e.settledAt(s)
 		switch {
 		case !enough:
 		case !now.Before(at):
@@ -52,20 +55,6 @@
 	return out
 }
 
-// crashTimes returns when each crash was first noticed. Requests on the same upstream may
-// notice its crash one after the other.
-func crashTimes(suspects map[Key]*suspect) map[CrashID]time.Time {
-	out := map[CrashID]time.Time{}
-	for _, s := range suspects {
-		for _, c := range s.crashes {
-			if at, ok := out[c.id]; !ok || c.at.Before(at) {
-				out[c.id] = c.at
-			}
-		}
-	}
-	return out
-}
-
 // countUnexplained returns how many crashes of a suspect have no other cause.
 func countUnexplained(s *suspect, explained map[CrashID]bool) int {
 	n := 0
--- /dev/null
+++ b/quarantine/cleared.go
@@ -0,0 +1,41 @@
+package quarantine
+
+import "time"
+
+const (
+	// maxClearedCrashes bounds one of the two generations of clearedCrashes.
+	maxClearedCrashes = 2048
+	// clearWindow is the time after a crash in which a request has to begin to show that
+	// other upstreams went on. Later, all of them may have ended and started again.
+	clearWindow = time.Second
+)
+
+// clearedCrash is a crash that a suspect has been cleared of.
+type clearedCrash struct {
+	at time.Time
+	// soon is set if that suspect is a part of a prompt, and the request that cleared it
+	// began within clearWindow.
+	soon bool
+}
+
+// clearedCrashes holds the crashes that suspects have been cleared of, of those seen lately.
+type clearedCrashes struct{ recent, older map[CrashID]clearedCrash }
+
+func newClearedCrashes() clearedCrashes {
+	return clearedCrashes{recent: map[CrashID]clearedCrash{}}
+}
+
+// add adds crashes that a suspect has been cleared of by a request that began at the given
+// time.
+func (c *clearedCrashes) add(depth Depth, began time.Time, crashes []observedCrash) {
+	for _, crash := range crashes {
+		soon := depth != contentDepth && began.Sub(crash.at) <= clearWindow
+		c.recent[crash.id] = clearedCrash{at: crash.at, soon: soon || c.soon(crash.id)}
+	}
+	if len(c.recent) >= maxClearedCrashes {
+		c.older, c.recent = c.recent, map[CrashID]clearedCrash{}
+	}
+}
+
+// soon reports whether a part was cleared of a crash soon after it.
+func (c *clearedCrashes) soon(id CrashID) bool { return c.recent[id].soon || c.older[id].soon }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -19,6 +19,10 @@
 	// it on other upstreams can clear it.
 	newPartGap  = 200 * time.Millisecond
 	usedPartGap = 500 * time.Millisecond
+	// commonPartSpan is the least time from the first to the last crash of a part that does
+	// not stand out among the suspects. Upstreams that end for another reason may do so
+	// over a second, and answers with the part take as long to clear it.
+	commonPartSpan = 1500 * time.Millisecond
 	// settleTime is how long after the crash that reaches the limit a part is not yet
 	// taken to be the cause, so that updates on the same crashes are received first.
 	settleTime = 100 * time.Millisecond
@@ -78,20 +82,18 @@
 	return usedPartGap
 }
 
-// settledAt returns from when the suspect may be the cause of its crashes, which were first
-// noticed at the given times, or false if there are too few.
-func (s *suspect) settledAt(crashTimes map[CrashID]time.Time) (time.Time, bool) {
-	if len(s.crashes) < s.crashLimit() {
-		return time.Time{}, false
-	}
+// settledAt returns from when the suspect may be the cause of the crashes that were first
+// noticed at the given times, in order, or false if too few of them are gap apart or they
+// lie within less than span.
+func (s *suspect) settledAt(times []time.Time, span time.Duration) (time.Time, bool) {
 	counted := 0
 	var last time.Time
-	for _, at := range s.sortedTimes(crashTimes) {
+	for _, at := range times {
 		if counted > 0 && at.Sub(last) < s.gap() {
 			continue
 		}
 		counted, last = counted+1, at
-		if counted < s.crashLimit() {
+		if counted < s.crashLimit() || at.Sub(times[0]) < span {
 			continue
 		}
 		if s.depth == contentDepth {
@@ -102,16 +104,6 @@
 	return time.Time{}, false
 }
 
-// sortedTimes returns when the crashes of the suspect were first noticed, in order.
-func (s *suspect) sortedTimes(crashTimes map[CrashID]time.Time) []time.Time {
-	out := make([]time.Time, 0, len(s.crashes))
-	for _, c := range s.crashes {
-		out = append(out, crashTimes[c.id])
-	}
-	slices.SortFunc(out, time.Time.Compare)
-	return out
-}
-
 // quarantineEnd returns when the first host may try a request again. Content that goes on
 // crashing upstreams is tried ever more seldom. Parts are not: they keep out many
 // requests, which can be served again once the upstreams are mended.
@@ -133,9 +125,8 @@
 
 // addCrash adds a crash. It reports whether that is new and counts.
 func (s *suspect) addCrash(c observedCrash) bool {
-	known := slices.ContainsFunc(s.crashes, func(o observedCrash) bool { return o.id == c.id })
 	late := len(s.crashes) >= maxCrashes && !c.at.After(s.crashes[0].at)
-	if known || late || !c.at.After(s.harmlessAt) {
+	if s.hasCrash(c.id) || late || !c.at.After(s.harmlessAt) {
 		return false
 	}
 	s.crashes = append(s.crashes, c)
@@ -147,13 +138,29 @@
 }
 
 // clear records that a request with the trait that began at the given time did not crash
-// its upstream. It reports whether crashes no longer count because of that.
-func (s *suspect) clear(at time.Time) bool {
+// its upstream. It returns the crashes that no longer count because of that.
+func (s *suspect) clear(at time.Time) []observedCrash {
 	if !at.After(s.harmlessAt) {
-		return false
+		return nil
 	}
 	s.harmlessAt = at
-	before := len(s.crashes)
-	s.crashes = slices.DeleteFunc(s.crashes, func(c observedCrash) bool { return !c.at.After(at) })
-	return len(s.crashes) < before
+	var cleared []observedCrash
+	s.crashes = slices.DeleteFunc(s.crashes, func(c observedCrash) bool {
+		counts := c.at.After(at)
+		if !counts {
+			cleared = append(cleared, c)
+		}
+		return !counts
+	})
+	return cleared
+}
+
+// hasCrash reports whether the suspect was running on an upstream when it crashed.
+func (s *suspect) hasCrash(id CrashID) bool {
+	return slices.ContainsFunc(s.crashes, func(c observedCrash) bool { return c.id == id })
+}
+
+// covers reports whether the suspect has all crashes of another.
+func (s *suspect) covers(other *suspect) bool {
+	return !slices.ContainsFunc(other.crashes, func(c observedCrash) bool { return !s.hasCrash(c.id) })
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -32,6 +32,7 @@
 	mu       sync.Mutex
 	suspects map[Key]*suspect
 	harmless harmlessParts
+	cleared  clearedCrashes
 	// attribution is what follows from suspects. It is not valid after they have changed.
 	attribution attribution
 	// hasUpdates is set while there may be suspects to send.
@@ -43,7 +44,7 @@
 
 // NewTable returns the empty table of a host.
 func NewTable(host plan.HostID) *Table {
-	return &Table{host: host, suspects: map[Key]*suspect{}, harmless: newHarmlessParts(), changed: make(chan struct{}, 1)}
+	return &Table{host: host, suspects: map[Key]*suspect{}, harmless: newHarmlessParts(), cleared: newClearedCrashes(), changed: make(chan struct{}, 1)}
 }
 
 // Empty reports whether there are no suspects. Callers then need not compute traits.
@@ -88,12 +89,20 @@
 		if trait.Depth != contentDepth {
 			t.harmless.add(began, trait.Key)
 		}
-		if s := t.suspects[trait.Key]; s != nil && s.clear(began) {
+		if s := t.suspects[trait.Key]; s != nil && t.clear(s, began) {
 			t.noteChange(now, s, true)
 		}
 	}
 }
 
+// clear records that a request with the trait of a suspect was harmless. It reports whether
+// crashes no longer count because of that. t.mu must be held.
+func (t *Table) clear(s *suspect, began time.Time) bool {
+	cleared := s.clear(began)
+	t.cleared.add(s.depth, began, cleared)
+	return len(cleared) > 0
+}
+
 // QuarantineLeft returns how long requests with any of the given traits stay in
 // quarantine at this host, or zero if they are not.
 func (t *Table) QuarantineLeft(now time.Time, traits []Trait) time.Duration {
@@ -113,7 +122,7 @@
 		return 0
 	}
 	if !t.attribution.valid(now) {
-		t.attribution = attribute(now, t.suspects)
+		t.attribution = attribute(now, t.suspects, t.cleared)
 	}
 	if !t.attribution.causes[k] {
 		return 0
--- a/quarantine/update.go
+++ b/quarantine/update.go
@@ -88,7 +88,7 @@
 		}
 		s := t.suspect(now, Trait{Key: told.Key, Depth: told.Depth})
 		switch {
-		case s.merge(other):
+		case t.mergeSuspect(s, other):
 			t.noteChange(now, s, false)
 			changed = true
 		case s.contradicts(other) && now.Sub(s.update.since) >= contradictInterval:
@@ -104,9 +104,10 @@
 	return slices.ContainsFunc(other.crashes, func(c observedCrash) bool { return !c.at.After(s.harmlessAt) })
 }
 
-// merge adds what another host knows. It reports whether that changed the crashes.
-func (s *suspect) merge(other suspect) bool {
-	changed := s.clear(other.harmlessAt)
+// mergeSuspect adds what another host knows of a suspect. It reports whether that changed
+// the crashes. t.mu must be held.
+func (t *Table) mergeSuspect(s *suspect, other suspect) bool {
+	changed := t.clear(s, other.harmlessAt)
 	for _, c := range other.crashes {
 		changed = s.addCrash(c) || changed
 	}
