Try further upstreams after connections that are refused at once

Callers got 503 "no upstream took the request" within 0.2 ms though upstreams of the service were free: each request was given to four upstreams at the most, and connections refused at once counted. After eight of twelve upstreams had ended and their ejections were over, as happens between two requests that are some seconds apart, the first four chosen could all be ones that had ended.

Refused connections, up to twelve for one request, no longer count. They cost no time and nothing was sent. A connection that runs into its time limit counts as before, so a request to a domain that is cut off still ends after four of them.

--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"time"
 
@@ -22,6 +23,10 @@
 	// maxUpstreamsTried limits the attempts for one request, including those that
 	// did not run it.
 	maxUpstreamsTried = 4
+	// maxRefusedDials limits the attempts for one request that don't count towards
+	// maxUpstreamsTried because the upstream's machine refused the connection at once.
+	// It bounds the dials of all requests while a whole service is down.
+	maxRefusedDials = 12
 	// refusalRetryAfter is the Retry-After of a refusal with status 503 if
 	// exchange.retryAfter is zero. A random delay of up to half of it is added, so
 	// that callers don't retry at the same time.
@@ -44,6 +49,8 @@
 	// sends counts how often the request was sent to an upstream, possibleRuns how
 	// often an upstream may have run it.
 	sends, possibleRuns int
+	// refusedDials counts the connections that were refused at once, up to maxRefusedDials.
+	refusedDials int
 	// headerWritten is set once the response header was written to the caller.
 	headerWritten bool
 	// lastEventID is the ID of the last event that the caller has.
@@ -112,7 +119,7 @@
 		if result == attemptFinal {
 			return
 		}
-		if ctx.Err() != nil || attempts >= maxUpstreamsTried || !x.mayRetry(result) {
+		if ctx.Err() != nil || attempts-x.refusedDials >= maxUpstreamsTried || !x.mayRetry(result) {
 			x.giveUp(ctx)
 			return
 		}
@@ -154,6 +161,7 @@
 	x.tried = append(x.tried, lease.Upstream.ID)
 	conn, err := server.ConnPools.Get(lease.Upstream).Get(ctx, server.Now())
 	if err != nil {
+		x.countRefusedDial(err)
 		x.endAttempt(ctx, lease, dispatch.Unreachable, err)
 		return attemptNotRun
 	}
@@ -165,6 +173,16 @@
 	return x.send(ctx, lease, conn)
 }
 
+// countRefusedDial counts a connection that could not be opened, unless that took until a
+// time limit.
+func (x *exchange) countRefusedDial(err error) {
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return
+	}
+	x.refusedDials = min(maxRefusedDials, x.refusedDials+1)
+}
+
 // setRetryAfter sets when the caller of a request that got no upstream may come back.
 func (x *exchange) setRetryAfter(err error) {
 	var overload *dispatch.OverloadError
