Refill buckets of permits only forward in time

Upstreams could get more requests than their rate allows after a pause of a holder of their permits: a goroutine that had read the time before the pause set the bucket back to that time, and the next refill added the same time again. A refill with an older time now adds nothing and leaves the time of the last refill.

TestPausedCallerDoesNotRefillABucketTwice failed before.

--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -16,15 +16,19 @@
 func NewBucket(now time.Time, tokens float64) Bucket { return Bucket{tokens: tokens, filledAt: now} }
 
 // Refill adds the permits that have accrued, at the rate that held until now or the given
-// one, whichever is lower.
+// one, whichever is lower. A time before that of the last refill, from a caller that was paused,
+// adds nothing.
 func (b *Bucket) Refill(now time.Time, rate Rate) {
 	accrualRate := rate
 	if b.rate != 0 {
 		accrualRate = min(rate, b.rate)
 	}
-	elapsed := max(0, now.Sub(b.filledAt).Seconds())
-	b.rate, b.filledAt = rate, now
-	b.tokens = min(b.capacity(), b.tokens+float64(accrualRate)*elapsed)
+	b.rate = rate
+	if elapsed := now.Sub(b.filledAt); elapsed > 0 {
+		b.tokens += float64(accrualRate) * elapsed.Seconds()
+		b.filledAt = now
+	}
+	b.tokens = min(b.capacity(), b.tokens)
 }
 
 // capacity returns how many permits the bucket holds at most.
