Limit the requests of all hosts to cold upstreams by permits

Callers saw upstreams crash just after their start: the hosts sent a process that was still cold whatever the balancer chose for it, while it survives only the cold rate of its service, of all hosts together.

The holders of announced rates give out their permits. They save half of what the bound allows beyond the rate, so that the rest is in reserve; a permit expires after a time in which half of that reserve accrues, so that a paused host can't use many at once. Asks carry the cold limit for holders that don't know it, which makes the protocol version 12. Holders that have just started give out permits for cold limits after 1 s instead of 3 s, since what their predecessor gave out is a second old by then.

The troubles of faultCases now take a simFleet, so that both kinds of limit are played in them.

--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -270,7 +270,11 @@
 		"too many drains":         func(m *Message) { m.Drains = make([]drain.Update, maxDrains+1) },
 		"drain without a process": func(m *Message) { m.Drains = make([]drain.Update, 1) },
 		"drain of the future":     func(m *Message) { m.Drains = []drain.Update{{Key: 1, UnlistedMillis: -1}} },
-		"domain without a name":   func(m *Message) { m.Report.Domains = make([]dispatch.DomainAge, 1) },
+		"ask without a limit":     func(m *Message) { m.Kind, m.Ask = KindPermitAsk, &ratelimit.Ask{Key: 1} },
+		"cold limit of nothing": func(m *Message) {
+			m.Kind, m.Ask = KindPermitAsk, &ratelimit.Ask{Key: 1, Rate: 1, Cold: ratelimit.ColdLimit{Rate: 1, Burst: 0.5}}
+		},
+		"domain without a name": func(m *Message) { m.Report.Domains = make([]dispatch.DomainAge, 1) },
 	} {
 		m := newMessage(1, "a", 1)
 		mutate(m)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -23,7 +23,7 @@
 // of different versions do not hear each other: each set of hosts counts as the
 // whole fleet, reads the platform's store by itself and shares its upstreams with
 // the other set without knowing its load.
-const protocolVersion = 11
+const protocolVersion = 12
 
 const (
 	// maxMessageBytes bounds a datagram that is received.
--- a/gossip/permits.go
+++ b/gossip/permits.go
@@ -25,32 +25,41 @@
 	decision chan ratelimit.Decision
 }
 
-// AcquirePermit gets a permit to send one request of the given urgency to an upstream whose
-// rate is limited. It asks the hosts that give out the parts of the rate until one grants a
-// permit, and reports whether one did.
+// AcquirePermit is RequestPermit for a caller that sends the request at once.
 func (n *Node) AcquirePermit(ctx context.Context, u *route.Upstream, urgency int) bool {
+	_, ok := n.RequestPermit(ctx, u, urgency)
+	return ok
+}
+
+// RequestPermit gets a permit to send one request of the given urgency to an upstream whose
+// rate is limited. It asks the hosts that give out the parts of the rate until one grants a
+// permit, and reports whether one did. Whether the permit still holds when the request is sent
+// is up to ratelimit.Limiter.MaySend.
+func (n *Node) RequestPermit(ctx context.Context, u *route.Upstream, urgency int) (ratelimit.Permit, bool) {
 	key := u.ProcessKey()
 	for ctx.Err() == nil {
 		now := n.Now()
-		rate := n.Limiter.Rate(now, key)
+		limit := n.Limiter.Limit(now, key)
+		rate := limit.Rate()
 		if rate == ratelimit.NoLimit {
-			return true
+			return ratelimit.Permit{}, true
 		}
 		holder, ok := n.Limiter.Asker.Begin(now, key, rate, urgency)
 		if !ok {
-			return false
+			return ratelimit.Permit{}, false
 		}
-		decision, ok := n.askForPermit(ctx, holder, ratelimit.Ask{Key: key, Rate: rate, Urgency: urgency})
+		decision, ok := n.askForPermit(ctx, holder, ratelimit.Ask{Key: key, Rate: limit.Announced, Cold: limit.Cold, Urgency: urgency})
 		if !ok {
 			n.Limiter.Asker.NotAnswered(n.Now(), holder)
 			continue
 		}
 		n.Limiter.Asker.Decided(n.Now(), key, holder, rate, urgency, decision)
-		if decision.Granted {
-			return true
+		permit := ratelimit.NewPermit(now, limit)
+		if decision.Granted && n.Limiter.MaySend(n.Now(), key, permit) {
+			return permit, true
 		}
 	}
-	return false
+	return ratelimit.Permit{}, false
 }
 
 // askForPermit asks a holder, which may be this host. It returns false if no answer came.
--- a/gossip/ratelimit_faults_test.go
+++ b/gossip/ratelimit_faults_test.go
@@ -14,7 +14,7 @@
 	name string
 	loss float64
 	// trouble is called each second, with its number.
-	trouble func(d *limitDay, second int)
+	trouble func(f *simFleet, second int)
 	// seconds is how long the trouble is played.
 	seconds int
 	// minUsed is the share of the rate that has to be used meanwhile.
@@ -27,44 +27,44 @@
 	return []faultCase{
 		{name: "5 in 100 datagrams lost", loss: 0.05, minUsed: 0.7},
 		{name: "30 in 100 datagrams lost", loss: 0.3, minUsed: 0.4},
-		{name: "a host restarts every second", loss: 0.01, trouble: func(d *limitDay, second int) {
-			d.restart(second % len(d.hosts))
+		{name: "a host restarts every second", loss: 0.01, trouble: func(f *simFleet, second int) {
+			f.restart(second % len(f.hosts))
 		}},
-		{name: "all hosts restart at once", loss: 0.01, trouble: func(d *limitDay, second int) {
-			for i := range d.hosts {
+		{name: "all hosts restart at once", loss: 0.01, trouble: func(f *simFleet, second int) {
+			for i := range f.hosts {
 				if second%15 == 7 {
-					d.restart(i)
+					f.restart(i)
 				}
 			}
 		}},
-		{name: "a third of the hosts is frozen for 3 s", loss: 0.01, trouble: func(d *limitDay, second int) {
-			for i := range len(d.hosts) / 3 {
-				d.hosts[i].down = second%8 >= 5
+		{name: "a third of the hosts is frozen for 3 s", loss: 0.01, trouble: func(f *simFleet, second int) {
+			for i := range len(f.hosts) / 3 {
+				f.hosts[i].down = second%8 >= 5
 			}
 		}},
-		{name: "hosts stop for good, others join", loss: 0.01, trouble: func(d *limitDay, second int) {
+		{name: "hosts stop for good, others join", loss: 0.01, trouble: func(f *simFleet, second int) {
 			if second%5 == 4 {
-				d.hosts[second%len(d.hosts)].down = true
-				d.join()
+				f.hosts[second%len(f.hosts)].down = true
+				f.join()
 			}
 		}},
-		{name: "a domain is cut off", loss: 0.01, minUsed: 0.7, trouble: func(d *limitDay, second int) {
-			d.cutDomain(second >= 3 && second < 25)
+		{name: "a domain is cut off", loss: 0.01, minUsed: 0.7, trouble: func(f *simFleet, second int) {
+			f.cutDomain(second >= 3 && second < 25)
 		}},
-		{name: "every other host is cut from the rest for 90 s", loss: 0.01, seconds: 110, trouble: func(d *limitDay, second int) {
-			d.cutEveryOther(second >= 3 && second < 93)
+		{name: "every other host is cut from the rest for 90 s", loss: 0.01, seconds: 110, trouble: func(f *simFleet, second int) {
+			f.cutEveryOther(second >= 3 && second < 93)
 		}},
-		{name: "hosts stop as planned, others join", loss: 0.01, minUsed: 0.7, trouble: func(d *limitDay, second int) {
+		{name: "hosts stop as planned, others join", loss: 0.01, minUsed: 0.7, trouble: func(f *simFleet, second int) {
 			switch second % 6 {
 			case 2:
-				d.hosts[second%len(d.hosts)].Leave()
+				f.hosts[second%len(f.hosts)].Leave()
 			case 5:
-				d.hosts[(second-3)%len(d.hosts)].down = true
-				d.join()
+				f.hosts[(second-3)%len(f.hosts)].down = true
+				f.join()
 			}
 		}},
-		{name: "every other host is cut from the rest", loss: 0.01, trouble: func(d *limitDay, second int) {
-			d.cutEveryOther(second >= 3 && second < 25)
+		{name: "every other host is cut from the rest", loss: 0.01, trouble: func(f *simFleet, second int) {
+			f.cutEveryOther(second >= 3 && second < 25)
 		}},
 	}
 }
@@ -109,7 +109,7 @@
 					from := d.now
 					for second := range max(30, c.seconds) {
 						if c.trouble != nil {
-							c.trouble(d, second)
+							c.trouble(d.simFleet, second)
 						}
 						d.run(time.Second, d.step)
 					}
--- a/gossip/ratelimit_test.go
+++ b/gossip/ratelimit_test.go
@@ -156,7 +156,7 @@
 func limitFleets() []limitFleet {
 	fleets := []limitFleet{{3, 2, 0.7}, {3, 3, 0.7}}
 	if *allFleets {
-		fleets = append(fleets, limitFleet{5, 10, 0.7}, limitFleet{5, 60, 0.4})
+		fleets = append(fleets, limitFleet{5, 10, 0.7}, limitFleet{3, 23, 0.7}, limitFleet{5, 60, 0.4})
 	}
 	return fleets
 }
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -14,6 +14,11 @@
 	// settleTime is how long after its start a host gives out no permits. It may not know
 	// yet that another host gives them out, and who has some from its predecessor.
 	settleTime = 3 * time.Second
+	// coldSettleTime is the same for cold limits, if the host has heard of another one of its
+	// domain. What a predecessor gave out counts for no longer, and a fleet that starts anew serves
+	// soon. A few hosts may not know all others by then, but a host that takes itself for the
+	// holder by mistake serves just its own requests.
+	coldSettleTime = time.Second
 	// asksPerPermit is how many asks the holder wants to get for each permit that it has
 	// to give, and minAsksPerSecond how many it takes in any case. With more, a permit
 	// waits for a shorter time.
@@ -48,16 +53,25 @@
 	_      struct{} `cbor:",toarray"`
 	Number uint64
 	Key    route.ProcessKey
-	// Rate is the upstream's rate as far as the asker knows.
+	// Rate is the rate that the upstream has announced as far as the asker knows, or NoLimit.
 	Rate Rate
 	// Urgency is the urgency of the request, from 0 (most urgent) to 9.
 	Urgency int
+	// Cold is the limit of a cold upstream, of which the holder may not know.
+	Cold ColdLimit
 }
 
 // Valid reports whether an ask that was received makes sense.
 func (a *Ask) Valid() bool {
-	rate, err := NewRate(float64(a.Rate))
-	return err == nil && rate == a.Rate && a.Key != 0 && a.Urgency >= 0 && a.Urgency < urgencies
+	if a.Rate == NoLimit && a.Cold.Rate == NoLimit || !a.Cold.Valid() {
+		return false
+	}
+	if a.Rate != NoLimit {
+		if rate, err := NewRate(float64(a.Rate)); err != nil || rate != a.Rate {
+			return false
+		}
+	}
+	return a.Key != 0 && a.Urgency >= 0 && a.Urgency < urgencies
 }
 
 // Decision answers an Ask.
@@ -76,43 +90,54 @@
 // Grantor gives out permits for the parts of upstreams' rates that fall to this host. Its
 // state ends with the process. It is safe for concurrent use.
 type Grantor struct {
-	holders *Holders
-	// readyAt is when the host may give out its first permit.
-	readyAt time.Time
-	mu      sync.Mutex
-	buckets map[route.ProcessKey]*partBucket
+	holders   *Holders
+	startedAt time.Time
+	mu        sync.Mutex
+	buckets   map[route.ProcessKey]*partBucket
 }
 
 // NewGrantor returns the Grantor of a host that has just started.
 func NewGrantor(now time.Time, holders *Holders) *Grantor {
-	return &Grantor{holders: holders, readyAt: now.Add(settleTime), buckets: map[route.ProcessKey]*partBucket{}}
+	return &Grantor{holders: holders, startedAt: now, buckets: map[route.ProcessKey]*partBucket{}}
 }
 
-// Decide answers an ask for a permit to send a request to an upstream with the given rate.
-func (g *Grantor) Decide(now time.Time, id AskID, a Ask, rate Rate) Decision {
+// Decide answers an ask for a permit to send a request to an upstream with the given limit.
+func (g *Grantor) Decide(now time.Time, id AskID, a Ask, limit Limit) Decision {
 	out := Decision{Number: a.Number}
 	own, part := g.holders.InOwnDomain(a.Key)
+	parts, readyAt := limit.parts(g.holders.Parts()), g.readyAt(limit)
 	switch {
 	case own != g.holders.self:
 		out.Holder, out.RetryAfter = own, redirectPause
 		return out
-	case now.Before(g.readyAt):
-		out.RetryAfter = g.readyAt.Sub(now)
+	case part >= parts:
+		out.RetryAfter = redirectPause
+		return out
+	case now.Before(readyAt):
+		out.RetryAfter = readyAt.Sub(now)
 		return out
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.buckets[a.Key]
 	if b == nil {
-		b = newPartBucket(now, float64(part)/float64(g.holders.Parts()))
+		b = newPartBucket(now, float64(part)/float64(parts))
 		g.buckets[a.Key] = b
 		g.expire(now)
 	}
-	b.refill(now, rate/Rate(g.holders.Parts()))
+	b.refill(now, limit, parts)
 	out.Granted, out.RetryAfter = b.decide(now, id, a.Urgency)
 	return out
 }
 
+// readyAt returns when the host may give out its first permit under a limit.
+func (g *Grantor) readyAt(limit Limit) time.Time {
+	if limit.Announced != NoLimit || !g.holders.knowsDomain() {
+		return g.startedAt.Add(settleTime)
+	}
+	return g.startedAt.Add(coldSettleTime)
+}
+
 // expire removes buckets that nobody asks. g.mu must be held.
 func (g *Grantor) expire(now time.Time) {
 	for k, b := range g.buckets {
@@ -152,10 +177,10 @@
 	return &partBucket{permits: NewBucket(now, tokens), lastUsed: now, askers: map[process]lastAsk{}, granted: map[AskID]time.Time{}}
 }
 
-// refill adds the permits that have accrued for a part of a rate.
-func (b *partBucket) refill(now time.Time, part Rate) {
-	b.permits.Refill(now, part)
-	b.part, b.lastUsed = part, now
+// refill adds the permits that have accrued for one of a number of parts of a limit.
+func (b *partBucket) refill(now time.Time, limit Limit, parts int) {
+	b.part, b.lastUsed = limit.Rate()/Rate(parts), now
+	b.permits.refill(now, b.part, limit.capacity(parts))
 }
 
 // decide answers an ask. It returns the time until the next one if it is not granted. An
@@ -168,7 +193,7 @@
 	}
 	b.askers[process{id.Host, id.Incarnation}] = lastAsk{at: now, urgency: urgency}
 	wait := b.permits.Wait()
-	if left := headStart - b.permits.Saved(); wait == 0 && left > 0 && !b.classes.mayGo(now, urgency) {
+	if left := b.permits.headStart(headStart) - b.permits.Saved(); wait == 0 && left > 0 && !b.classes.mayGo(now, urgency) {
 		wait = left
 	}
 	if wait == 0 {
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -88,6 +88,13 @@
 	}
 }
 
+// knowsDomain reports whether this host has seen any other host of its domain.
+func (h *Holders) knowsDomain() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.hosts[h.domain]) > 0
+}
+
 // Leave makes this host give out no more permits, because it stops.
 func (h *Holders) Leave() {
 	h.mu.Lock()
--- a/ratelimit/ratelimit_test.go
+++ b/ratelimit/ratelimit_test.go
@@ -92,9 +92,11 @@
 	}
 }
 
+var testAddr = netip.MustParseAddr("10.0.0.1")
+
 // testGrantor returns the Grantor of a host that has no others, with one part for each rate.
 func testGrantor() *Grantor {
-	return NewGrantor(start, NewHolders(netip.MustParseAddr("10.0.0.1"), "a", nil))
+	return NewGrantor(start, NewHolders(testAddr, "a", nil))
 }
 
 // TestAnswerThatGotLostCostsOnePermit guards against a holder that takes another permit when
@@ -103,7 +105,7 @@
 	g := testGrantor()
 	ask := func(millis int, number uint64) bool {
 		a := Ask{Number: number, Key: 1, Rate: 1}
-		return g.Decide(at(millis), AskID{Host: "h", Incarnation: 1, Number: number}, a, 1).Granted
+		return g.Decide(at(millis), AskID{Host: "h", Incarnation: 1, Number: number}, a, Limit{Announced: 1}).Granted
 	}
 	ask(3000, 1)
 	got := []bool{ask(4000, 2), ask(4040, 2), ask(4050, 3), ask(5100, 4)}
@@ -119,7 +121,7 @@
 	granted := 0
 	for millis := 0; millis < 4000; millis += 10 {
 		a := Ask{Number: uint64(millis), Key: 1, Rate: 4}
-		if g.Decide(at(millis), AskID{Host: "h", Number: a.Number}, a, 4).Granted {
+		if g.Decide(at(millis), AskID{Host: "h", Number: a.Number}, a, Limit{Announced: 4}).Granted {
 			granted++
 		}
 	}
@@ -194,7 +196,7 @@
 	for millis := 3000; millis < 63000; millis += 25 {
 		u := millis / 25 % 2
 		a := Ask{Number: uint64(millis), Key: 1, Rate: 2, Urgency: u * 9}
-		if g.Decide(at(millis), AskID{Host: plan.HostID(fmt.Sprint(u)), Number: a.Number}, a, 2).Granted {
+		if g.Decide(at(millis), AskID{Host: plan.HostID(fmt.Sprint(u)), Number: a.Number}, a, Limit{Announced: 2}).Granted {
 			granted[u]++
 		}
 	}
