Send requests to cold upstreams only with permits

After a failure domain came back, or upstreams had crashed and restarted, all hosts sent their requests to the upstreams that were empty: up to 37 in a second where 29 are allowed, so cold upstreams might crash again. The list and the table now set the limits of cold upstreams; the gateway asks for a permit and checks right before the send that it still holds, and an upstream that could not be reached counts as cold until after it may have restarted.

--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"mulberrydyke/plan"
 	"mulberrydyke/route"
 )
 
@@ -270,6 +271,17 @@
 	t.ejectedUntil = now.Add(duration)
 }
 
+// EjectedUntil returns until when this host has ejected an upstream that it could not reach. It
+// is in the past or zero if it has not.
+func (b *Balancer) EjectedUntil(id plan.UpstreamID) time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[id]; t != nil {
+		return t.ejectedUntil
+	}
+	return time.Time{}
+}
+
 // probationTime is how long, after its ejection, an upstream gets only retryable
 // requests. Afterwards it gets any request, in case there are no retryable ones.
 const probationTime = 1500 * time.Millisecond
--- /dev/null
+++ b/edge/cold.go
@@ -0,0 +1,39 @@
+package edge
+
+import (
+	"time"
+
+	"mulberrydyke/ratelimit"
+	"mulberrydyke/route"
+)
+
+// refreshCold limits the requests to the upstreams that are cold by the list and the table in
+// force.
+func (h *Host) refreshCold(upstreams *route.Upstreams) {
+	table := h.table.Load()
+	if table == nil {
+		return
+	}
+	bounds := h.bounds.Load()
+	cold := ratelimit.ListCold(upstreams, table.Services, bounds.ColdOvershoot, bounds.ColdSlack)
+	for _, c := range h.rateLimits.SetCold(time.Now(), cold) {
+		h.log.Info("upstream is cold", "upstream", string(c.Upstream), "for", time.Until(c.Until), "rate", float64(c.Limit.Rate))
+	}
+}
+
+// recordUnreachable treats an upstream that could not be reached as cold for some time after its
+// ejection: its process may restart before the list says so.
+func (h *Host) recordUnreachable(u *route.Upstream, ejectedUntil time.Time) {
+	table, now := h.table.Load(), time.Now()
+	if table == nil || table.Services[u.Service] == nil {
+		return
+	}
+	if ejectedUntil.Before(now) {
+		ejectedUntil = now
+	}
+	service, bounds := table.Services[u.Service], h.bounds.Load()
+	c, ok := ratelimit.NewCold(u, service, ejectedUntil.Add(service.ColdStart), bounds.ColdOvershoot, bounds.ColdSlack)
+	if ok && h.rateLimits.RecordLost(now, c) {
+		h.log.Info("upstream may restart cold", "upstream", string(u.ID), "until", c.Until.Sub(now), "rate", float64(c.Limit.Rate))
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -130,7 +130,7 @@
 	h.drains = drain.NewTable(h.refreshUpstreams)
 	h.gateway = gateway.NewServer(gateway.Options{
 		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine,
-		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains,
+		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains, Unreachable: h.recordUnreachable,
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	reader, cleanup := platform.NewReader(s.Platform, watchPeriod(s.Bounds), h, h.log)
@@ -172,9 +172,9 @@
 // permits implements gateway.Permits by the node, which is built after the gateway.
 type permits struct{ host *Host }
 
-// AcquirePermit implements gateway.Permits.
-func (p permits) AcquirePermit(ctx context.Context, u *route.Upstream, urgency int) bool {
-	return p.host.gossipNode.AcquirePermit(ctx, u, urgency)
+// RequestPermit implements gateway.Permits.
+func (p permits) RequestPermit(ctx context.Context, u *route.Upstream, urgency int) (ratelimit.Permit, bool) {
+	return p.host.gossipNode.RequestPermit(ctx, u, urgency)
 }
 
 // discoveryTime is how long after its start a host may not know all other hosts yet.
@@ -247,6 +247,7 @@
 		return float64(quarantined)
 	})
 	h.metrics.NewGauge("mulberrydyke_rate_limited_upstreams", func() float64 { return float64(h.rateLimits.Count(time.Now())) })
+	h.metrics.NewGauge("mulberrydyke_cold_upstreams", func() float64 { return float64(h.rateLimits.ColdCount(time.Now())) })
 	h.metrics.NewGauge("mulberrydyke_draining_upstreams_told", func() float64 { return float64(h.drains.Count()) })
 	h.metrics.NewGauge("mulberrydyke_evacuated_domains", func() float64 { return float64(h.reader.EvacuatedDomains()) })
 	h.metrics.NewGauge("mulberrydyke_slow_upstreams", func() float64 { return float64(h.balancer.SlowUpstreams()) })
@@ -269,6 +270,7 @@
 func (h *Host) TableUpdated(t *route.Table, age time.Duration) {
 	before, _ := h.Versions()
 	h.table.Store(t)
+	h.refreshCold(h.upstreams.inForce.Load())
 	if before > 0 {
 		h.metrics.GetOrCreateHistogram(tableDelayMetric).Update(age.Seconds())
 	}
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -46,6 +46,7 @@
 // draining are in that state, whatever the platform lists.
 func (h *Host) refreshUpstreams() {
 	h.upstreams.refresh(h.drains.Draining, func(before, after *route.Upstreams) {
+		h.refreshCold(after)
 		h.balancer.SetUpstreams(time.Now(), after)
 		h.connPools.Prune(after)
 		h.logUpstreams(before, after)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -37,3 +37,11 @@
 	}
 	return u
 }
+
+// recordUnreachable records an upstream to which no connection could be opened.
+func (x *exchange) recordUnreachable(lease *dispatch.Lease, result dispatch.Result) {
+	if result != dispatch.Unreachable || x.server.Unreachable == nil {
+		return
+	}
+	x.server.Unreachable(lease.Upstream, x.server.Balancer.EjectedUntil(lease.Upstream.ID))
+}
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -12,6 +12,7 @@
 	"mulberrydyke/dispatch"
 	"mulberrydyke/link"
 	"mulberrydyke/plan"
+	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 )
 
@@ -84,8 +85,9 @@
 	// crashChecked is closed when it is known whether the last attempt crashed its
 	// upstream. It is nil if nothing suggests that it did.
 	crashChecked <-chan struct{}
-	// lease is the lease of the last attempt, or nil.
-	lease *dispatch.Lease
+	// lease is the lease of the last attempt, or nil, and permit the permit that it got.
+	lease  *dispatch.Lease
+	permit ratelimit.Permit
 }
 
 // attemptResult tells whether the request may be retried after an attempt.
@@ -170,6 +172,12 @@
 		x.endAttempt(ctx, lease, dispatch.Refused, err)
 		return attemptNotRun
 	}
+	if !server.RateLimits.MaySend(server.Now(), lease.Upstream.ProcessKey(), x.permit) {
+		conn.Close()
+		x.tried = x.tried[:len(x.tried)-1]
+		x.endAttempt(ctx, lease, dispatch.Unsent, errPermitExpired)
+		return attemptPostponed
+	}
 	return x.send(ctx, lease, conn)
 }
 
@@ -211,6 +219,10 @@
 // none for some time.
 var errUpstreamPaused = errors.New("upstream takes no requests for some time")
 
+// errPermitExpired reports that the permit to send a request to a cold upstream has expired, or that
+// the upstream became cold, before the request was sent.
+var errPermitExpired = errors.New("permit for the upstream expired")
+
 // errUpstreamDraining reports an upstream that began to shut down, was evacuated, or was
 // removed from the list, before the request was sent.
 var errUpstreamDraining = errors.New("upstream is draining, evacuated or was removed")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -264,17 +264,18 @@
 // ownPermits implements Permits for a host that has no others.
 type ownPermits struct{ *ratelimit.Limiter }
 
-func (p ownPermits) AcquirePermit(_ context.Context, u *route.Upstream, urgency int) bool {
+func (p ownPermits) RequestPermit(_ context.Context, u *route.Upstream, urgency int) (ratelimit.Permit, bool) {
 	now, key := time.Now(), u.ProcessKey()
-	rate := p.Rate(now, key)
+	limit := p.Limit(now, key)
+	rate := limit.Rate()
 	holder, ok := p.Asker.Begin(now, key, rate, urgency)
 	if rate == ratelimit.NoLimit || !ok {
-		return rate == ratelimit.NoLimit
+		return ratelimit.Permit{}, rate == ratelimit.NoLimit
 	}
-	ask := ratelimit.Ask{Number: rand.Uint64(), Key: key, Rate: rate, Urgency: urgency}
+	ask := ratelimit.Ask{Number: rand.Uint64(), Key: key, Rate: limit.Announced, Cold: limit.Cold, Urgency: urgency}
 	decision := p.Decide(now, ratelimit.AskID{Host: "h", Number: ask.Number}, ask)
 	p.Asker.Decided(now, key, holder, rate, urgency, decision)
-	return decision.Granted
+	return ratelimit.NewPermit(now, limit), decision.Granted
 }
 
 // callerResponse is what a caller receives.
--- a/gateway/ratelimit.go
+++ b/gateway/ratelimit.go
@@ -15,9 +15,9 @@
 
 // Permits gets permits to send requests to upstreams whose rate is limited.
 type Permits interface {
-	// AcquirePermit reports whether a request of the given urgency, from 0 (most urgent)
-	// to 9, may be sent to an upstream now. It does not wait until one may.
-	AcquirePermit(ctx context.Context, u *route.Upstream, urgency int) bool
+	// RequestPermit returns a permit to send a request of the given urgency, from 0 (most
+	// urgent) to 9, to an upstream now, or false. It does not wait until there is one.
+	RequestPermit(ctx context.Context, u *route.Upstream, urgency int) (ratelimit.Permit, bool)
 }
 
 const (
@@ -66,7 +66,13 @@
 			return nil, &throttledError{Until: throttle.until}
 		case err != nil:
 			return nil, err
-		case server.RateLimits.Empty() || server.Permits.AcquirePermit(ctx, lease.Upstream, urgency):
+		case server.RateLimits.Empty():
+			x.permit = ratelimit.Permit{}
+			return lease, nil
+		}
+		permit, ok := server.Permits.RequestPermit(ctx, lease.Upstream, urgency)
+		if ok {
+			x.permit = permit
 			return lease, nil
 		}
 		server.Balancer.Release(server.Now(), lease, dispatch.Unsent)
--- a/gateway/ratelimit_test.go
+++ b/gateway/ratelimit_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"mulberrydyke/ratelimit"
 	"mulberrydyke/route"
 )
 
@@ -145,9 +146,9 @@
 // lateDenial denies each permit once the caller has left.
 type lateDenial struct{}
 
-func (lateDenial) AcquirePermit(ctx context.Context, _ *route.Upstream, _ int) bool {
+func (lateDenial) RequestPermit(ctx context.Context, _ *route.Upstream, _ int) (ratelimit.Permit, bool) {
 	<-ctx.Done()
-	return false
+	return ratelimit.Permit{}, false
 }
 
 // TestCallerThatLeavesWhileAPermitIsAskedForEndsItsRequest guards against a host that goes
