Blame a part that stands out without an answer after its third crash

A part that crashes engines was blamed only once another part had been cleared of all three crashes that count.

Answers after the first two crashes already show that other upstreams went on, so the last one needs none.

--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -40,19 +40,26 @@
 	}
 }
 
+// noticedCrash is a crash of a suspect.
+type noticedCrash struct {
+	at time.Time
+	// cleared is set if a part was cleared of it soon after.
+	cleared bool
+}
+
 // settledAt returns from when a suspect may be the cause of its crashes, or false if they
-// don't suffice. Of a part that stands out, those count that another part has been cleared
-// of: until then, the cause may lie outside of the requests. Crashes that go on for long
-// enough count in any case.
+// don't suffice. For a part that stands out, another part must have been cleared of those
+// before the last: until then, the cause may lie outside of the requests. Crashes that go on
+// for long enough count in any case.
 func (e *evidence) settledAt(s *suspect) (time.Time, bool) {
+	crashes := e.crashes(s)
 	if s.depth == contentDepth {
-		return s.settledAt(e.times(s.crashes), 0)
+		return s.settledAt(crashes, false, 0)
 	}
-	cleared := slices.DeleteFunc(slices.Clone(s.crashes), func(c observedCrash) bool { return !e.cleared.soon(c.id) })
-	if at, enough := s.settledAt(e.times(cleared), 0); enough && e.standsOut(s) {
+	if at, enough := s.settledAt(crashes, true, 0); enough && e.standsOut(s) {
 		return at, true
 	}
-	return s.settledAt(e.times(s.crashes), commonPartSpan)
+	return s.settledAt(crashes, false, commonPartSpan)
 }
 
 // standsOut reports whether a part explains all crashes from its first to its last, and no
@@ -61,8 +68,8 @@
 
 // explainsAll reports whether a part is suspected of all crashes from its first to its last.
 func (e *evidence) explainsAll(s *suspect) bool {
-	times := e.times(s.crashes)
-	first, last := times[0], times[len(times)-1]
+	crashes := e.crashes(s)
+	first, last := crashes[0].at, crashes[len(crashes)-1].at
 	for id, at := range e.noticed {
 		if !at.Before(first) && !at.After(last) && !s.hasCrash(id) {
 			return false
@@ -71,13 +78,13 @@
 	return true
 }
 
-// times returns when crashes were first noticed, in order.
-func (e *evidence) times(crashes []observedCrash) []time.Time {
-	out := make([]time.Time, 0, len(crashes))
-	for _, c := range crashes {
-		out = append(out, e.noticed[c.id])
+// crashes returns the crashes of a suspect in the order in which they were first noticed.
+func (e *evidence) crashes(s *suspect) []noticedCrash {
+	out := make([]noticedCrash, 0, len(s.crashes))
+	for _, c := range s.crashes {
+		out = append(out, noticedCrash{at: e.noticed[c.id], cleared: e.cleared.soon(c.id)})
 	}
-	slices.SortFunc(out, time.Time.Compare)
+	slices.SortFunc(out, func(a, b noticedCrash) int { return a.at.Compare(b.at) })
 	return out
 }
 
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -82,18 +82,21 @@
 	return usedPartGap
 }
 
-// settledAt returns from when the suspect may be the cause of the crashes that were first
-// noticed at the given times, in order, or false if too few of them are gap apart or they
-// lie within less than span.
-func (s *suspect) settledAt(times []time.Time, span time.Duration) (time.Time, bool) {
+// settledAt returns from when the suspect may be the cause of the given crashes, in order, or
+// false if too few of them are gap apart or they lie within less than span. With onlyCleared,
+// all that count but the last must be ones that another part was cleared of.
+func (s *suspect) settledAt(crashes []noticedCrash, onlyCleared bool, span time.Duration) (time.Time, bool) {
 	counted := 0
 	var last time.Time
-	for _, at := range times {
-		if counted > 0 && at.Sub(last) < s.gap() {
+	for _, c := range crashes {
+		if counted > 0 && c.at.Sub(last) < s.gap() {
 			continue
 		}
-		counted, last = counted+1, at
-		if counted < s.crashLimit() || at.Sub(times[0]) < span {
+		if onlyCleared && !c.cleared && counted < s.crashLimit()-1 {
+			continue
+		}
+		counted, last = counted+1, c.at
+		if counted < s.crashLimit() || c.at.Sub(crashes[0].at) < span {
 			continue
 		}
 		if s.depth == contentDepth {
