Keep the ports of ended upstreams reserved in a test

TestOneReachableUpstreamIsFound failed twice with 502: a port that is closed again may be given to the next listener, or to an outgoing connection.

--- a/gateway/unreachable_test.go
+++ b/gateway/unreachable_test.go
@@ -3,21 +3,39 @@
 import (
 	"fmt"
 	"net"
+	"syscall"
 	"testing"
 
 	"mulberrydyke/plan"
 )
 
-// newEndedStub returns a stub that refuses connections. Nothing ever accepted any, so that
-// its listener is closed at once, also while the machine is busy.
+// reservedPort is a port that is bound and not listened on, so that connections to it are
+// refused. A port that is just closed could be given to another listener, or to a connection.
+type reservedPort struct {
+	net.Listener
+	addr net.TCPAddr
+}
+
+// Addr implements net.Listener.
+func (p *reservedPort) Addr() net.Addr { return &p.addr }
+
+// newEndedStub returns a stub that refuses connections.
 func newEndedStub(t *testing.T, id plan.UpstreamID) *stub {
 	t.Helper()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
 	if err != nil {
 		t.Fatal(err)
 	}
-	_ = listener.Close()
-	return &stub{id: id, listener: listener}
+	port := bound.(*syscall.SockaddrInet4).Port
+	return &stub{id: id, listener: &reservedPort{addr: net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port}}}
 }
 
 // TestOneReachableUpstreamIsFound guards against a request that is refused though an upstream
