--- a/edge/cold.go
+++ b/edge/cold.go
@@ -34,6 +34,6 @@
 	service, bounds := table.Services[u.Service], h.bounds.Load()
 	c, ok := ratelimit.NewCold(u, service, ejectedUntil.Add(service.ColdStart), bounds.ColdOvershoot, bounds.ColdSlack)
 	if ok && h.rateLimits.RecordLost(now, c) {
-		h.log.Info("upstream may restart cold", "upstream", string(u.ID), "until", c.Until.Sub(now), "rate", float64(c.Limit.Rate))
+		h.log.Info("upstream may restart cold", "upstream", string(u.ID), "for", c.Until.Sub(now), "rate", float64(c.Limit.Rate))
 	}
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -310,6 +310,7 @@
 	setRuntimeLimits(s)
 	h.bounds.Store(&s.Bounds)
 	h.retryBudget.SetBounds(s.Bounds)
+	h.refreshCold(h.upstreams.inForce.Load())
 	h.reader.SetAddress(s.Platform)
 	h.gossipNode.AddSeeds(s.Seeds)
 	if s.Callers != h.settings.Callers || s.Readiness != h.settings.Readiness || s.Peers != h.settings.Peers || s.ID != h.settings.ID {
--- a/trace/trace.go
+++ b/trace/trace.go
@@ -40,7 +40,7 @@
 var stateMessages = []string{
 	"table in force", "store lost", "store reached", "hosts of the group in reach changed", "lists fetched",
 	"upstream listed", "upstream gone", "upstreams changed", "planned stop began", "started",
-	"failure domain evacuated", "failure domain taken back", "process was paused",
+	"failure domain evacuated", "failure domain taken back", "process was paused", "upstream is cold", "upstream may restart cold",
 }
 
 // Read reads the lines of a log. It skips lines without a time.
