--- a/setting/setting.go
+++ b/setting/setting.go
@@ -86,6 +86,9 @@
 	// MaxConnections is the maximum number of open caller connections. The
 	// default is 4096.
 	MaxConnections int `json:"connections"`
+	// MemoryBytes is the memory of the machine. The memory for the heads and bodies of callers'
+	// requests, and the connections that may be open, are a part of it. The default is 512 MiB.
+	MemoryBytes int64 `json:"memory-bytes"`
 }
 
 // DefaultBounds returns the limits that apply if the settings do not set them.
@@ -100,6 +103,7 @@
 		MaxTicketBytes:    32 << 20,
 		RetryRatio:        0.1,
 		MaxConnections:    4096,
+		MemoryBytes:       512 << 20,
 	}
 }
 
@@ -181,6 +185,9 @@
 	return lineAtOffset(raw, int64(offset)), segments[len(segments)-2]
 }
 
+// minMemoryBytes is the least memory in which a host can hold a request of the longest body.
+const minMemoryBytes = 64 << 20
+
 // rule is a requirement that settings must meet.
 type rule struct {
 	ok     bool
@@ -212,6 +219,7 @@
 		{bounds.MaxTicketBytes > 0, "ticket-bytes", "want a number above 0"},
 		{bounds.RetryRatio >= 0 && bounds.RetryRatio <= 1, "retry-part", "want 0 to 1"},
 		{bounds.MaxConnections > 0, "connections", "want a number above 0"},
+		{bounds.MemoryBytes >= minMemoryBytes, "memory-bytes", "want at least 67108864"},
 	}
 	for _, r := range rules {
 		if !r.ok {
