Bound what untrusted callers take of an entry host

Callers ended a process by its memory: net/http accepts heads of 1 MiB a connection, whose map takes twenty times as much in short lines; a body kept up to twice its size, had no deadline, and all bodies together had no bound; nothing limited the connections.

Package connlimit keeps the connections of a listener within a number derived from descriptors and memory, and the memory of all heads and bodies within a fifth of the machine's. Bodies grow in steps as they arrive, and both the old and the new memory are counted while one grows. When a limit is reached, the connection that has made no progress for longest is ended: first those that wait or send, then idle ones, never one whose request is complete. Memory of ended requests is awaited before others take it. Refused bodies get 503 with Retry-After, 408 with Retry-After if they don't arrive within the request's time, 413 at once if they are announced over the limit, and heads over the table's limit get 431. The listeners for readiness and metrics have limits of their own, so that callers don't crowd out the load balancer. Counters and gauges by listener show it, and one line each when a limit is first reached and no longer is.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 
 	"mulberrydyke/catalog"
 	"mulberrydyke/clock"
+	"mulberrydyke/connlimit"
 	"mulberrydyke/dispatch"
 	"mulberrydyke/drain"
 	"mulberrydyke/gateway"
@@ -187,13 +188,13 @@
 func (h *Host) goTask(task func()) { h.tasks.Go(task) }
 
 func (h *Host) listen() error {
-	h.callerServer = &http.Server{Handler: h.gateway, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug)}
-	if err := h.serve(h.callerServer, h.settings.Callers); err != nil {
+	h.callerServer = &http.Server{Handler: h.gateway, IdleTimeout: idleTimeout}
+	if err := h.serve(h.callerServer, h.callerLimiter(), h.settings.Callers); err != nil {
 		return err
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc("GET "+readyPath, h.serveReady)
-	if err := h.serve(&http.Server{Handler: readyMux, ReadHeaderTimeout: readHeaderTimeout}, h.settings.Readiness); err != nil {
+	if err := h.serve(newSideServer(readyMux), h.sideLimiter("ready"), h.settings.Readiness); err != nil {
 		return err
 	}
 	if h.settings.MetricsPort == 0 {
@@ -205,16 +206,21 @@
 		h.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	return h.serve(&http.Server{Handler: metricsMux, ReadHeaderTimeout: readHeaderTimeout}, netip.AddrPortFrom(h.settings.IP, h.settings.MetricsPort))
+	return h.serve(newSideServer(metricsMux), h.sideLimiter("metrics"), netip.AddrPortFrom(h.settings.IP, h.settings.MetricsPort))
 }
 
-func (h *Host) serve(s *http.Server, address netip.AddrPort) error {
+// serve serves an address within the limits of a limiter.
+func (h *Host) serve(s *http.Server, limiter *connlimit.Limiter, address netip.AddrPort) error {
 	listener, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		return eris.Wrap(err, "listen on "+address.String())
 	}
+	s.ReadHeaderTimeout = readHeaderTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
+	s.ErrorLog = slog.NewLogLogger(h.log.Handler(), slog.LevelDebug)
+	limiter.Apply(s)
 	go func() {
-		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(limiter.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			h.log.Error("listener failed", "address", address.String(), "cause", err)
 		}
 	}()
--- /dev/null
+++ b/edge/limits.go
@@ -0,0 +1,51 @@
+package edge
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"mulberrydyke/connlimit"
+)
+
+const (
+	// maxHeaderBytes limits request heads as they are read. The table's own limit, which may
+	// change, is checked when a head is complete.
+	maxHeaderBytes = 64 << 10
+	// sideTimeout limits requests and answers at the listeners for readiness and metrics.
+	sideTimeout = 10 * time.Second
+	// maxSideConns and maxSideBytes limit the connections of each of these listeners, and the
+	// memory for their request heads.
+	maxSideConns = 64
+	maxSideBytes = 2 << 20
+)
+
+// callerLimiter returns the limiter for the listener for callers.
+func (h *Host) callerLimiter() *connlimit.Limiter {
+	return h.newLimiter("callers", connlimit.LimitsFor(h.settings.MemoryBytes, h.settings.MaxFileDescriptors))
+}
+
+// sideLimiter returns the limiter for the listener for readiness or metrics. It has its own, so
+// that callers don't end the connections of the load balancer.
+func (h *Host) sideLimiter(name string) *connlimit.Limiter {
+	return h.newLimiter(name, connlimit.Limits{Conns: maxSideConns, Bytes: maxSideBytes, WriteTimeout: sideTimeout})
+}
+
+func (h *Host) newLimiter(name string, limits connlimit.Limits) *connlimit.Limiter {
+	l := connlimit.NewLimiter(limits, name, h.log)
+	gauges := map[string]func() float64{
+		"mulberrydyke_caller_connections":               func() float64 { return float64(l.OpenConns()) },
+		"mulberrydyke_caller_bytes":                     func() float64 { return float64(l.Bytes()) },
+		"mulberrydyke_caller_connections_ended_total":   func() float64 { return float64(l.Ended()) },
+		"mulberrydyke_caller_requests_over_limit_total": func() float64 { return float64(l.Refused()) },
+	}
+	for metric, value := range gauges {
+		h.metrics.NewGauge(fmt.Sprintf("%s{listener=%q}", metric, name), value)
+	}
+	return l
+}
+
+// newSideServer returns a server for requests without bodies.
+func newSideServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadTimeout: sideTimeout, WriteTimeout: sideTimeout, IdleTimeout: idleTimeout}
+}
--- /dev/null
+++ b/gateway/body.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"mulberrydyke/connlimit"
+)
+
+const (
+	// defaultMaxBodyBytes limits request bodies if the table sets no limit.
+	defaultMaxBodyBytes = 4 << 20
+	// limitRetryAfter is the Retry-After of a request whose body found no memory. A random delay
+	// of up to as much is added.
+	limitRetryAfter = time.Second
+	// lateRetryAfter is the Retry-After of a request whose body did not arrive in time.
+	lateRetryAfter = time.Second
+	// maxUnreadBytes is the longest declared body that is read after a refusal, so that the
+	// connection can be used again.
+	maxUnreadBytes = 64 << 10
+	// unreadBodyTimeout limits the time for which the rest of a refused body is awaited.
+	unreadBodyTimeout = time.Second
+)
+
+// headTooLong reports whether the head of a request is over the limit in force.
+func (s *Server) headTooLong(r *http.Request) bool {
+	table := s.Table()
+	return table != nil && table.Limits.MaxHeaderBytes > 0 && connlimit.HeadSize(r) > table.Limits.MaxHeaderBytes
+}
+
+// readBody reads the whole body, so that the request can be retried at another upstream. It has
+// to arrive within the request's time. It returns false after it rejected the request or logged
+// that the caller has disconnected.
+func (x *exchange) readBody(r *http.Request, maxBytes int64) bool {
+	if maxBytes <= 0 {
+		maxBytes = defaultMaxBodyBytes
+	}
+	if r.ContentLength == 0 {
+		return true
+	}
+	// Fails only for connections without deadlines, such as those of tests.
+	_ = http.NewResponseController(x.w).SetReadDeadline(x.request.ReceivedAt.Add(x.timeout))
+	body, err := connlimit.ReadBody(r.Context(), r.Body, r.ContentLength, maxBytes)
+	x.request.Body = body
+	if err != nil {
+		x.rejectBody(r, err)
+	}
+	return err == nil
+}
+
+// rejectBody answers a request whose body was not read to its end. It was not passed on.
+func (x *exchange) rejectBody(r *http.Request, err error) {
+	var tooLarge *http.MaxBytesError
+	status, retryAfter, reason := 0, time.Duration(0), ""
+	switch {
+	case errors.As(err, &tooLarge):
+		status, reason = http.StatusRequestEntityTooLarge, "body too large"
+	case errors.Is(err, connlimit.ErrLimitReached):
+		status, reason = http.StatusServiceUnavailable, "too many requests are being sent"
+		retryAfter = limitRetryAfter + rand.N(limitRetryAfter)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		status, reason, retryAfter = http.StatusRequestTimeout, "body not sent in time", lateRetryAfter
+	default:
+		x.server.logCause(x.request, "caller disconnected before its body was read", err.Error())
+		return
+	}
+	x.w.Header().Set("Connection", "close")
+	x.server.reject(x.w, r, x.request, status, retryAfter, reason)
+}
+
+// abandonBody limits how much of a body is awaited that is not needed. net/http reads the rest of
+// one before or after the answer.
+func abandonBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	if r.ContentLength < 0 || r.ContentLength > maxUnreadBytes {
+		w.Header().Set("Connection", "close")
+	}
+	// Fails only for connections without deadlines, such as those of tests.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net/http"
@@ -27,8 +26,6 @@
 	timeoutGrace = 40 * time.Millisecond
 	// noTableRetryAfter is the Retry-After while the host has no routing table.
 	noTableRetryAfter = 500 * time.Millisecond
-	// defaultMaxBodyBytes limits request bodies if the table sets no limit.
-	defaultMaxBodyBytes = 4 << 20
 )
 
 // Options are the dependencies of a Server.
@@ -85,6 +82,10 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if s.headTooLong(r) {
+		s.reject(w, r, nil, http.StatusRequestHeaderFieldsTooLarge, 0, "head too large")
+		return
+	}
 	request, err := s.Dialect.ParseRequest(now, r)
 	if err != nil {
 		s.reject(w, r, nil, http.StatusBadRequest, 0, err.Error())
@@ -117,13 +118,13 @@
 		s.reject(w, r, request, http.StatusUnauthorized, 0, "unknown key")
 		return nil
 	}
-	if err := s.readBody(w, r, request, table.Limits.MaxBodyBytes); err != nil {
-		return nil
-	}
 	x := &exchange{server: s, w: w, request: request, table: table, route: rt, account: account, timeout: rt.Timeout}
 	if request.CallerTimeout > 0 && request.CallerTimeout < x.timeout {
 		x.timeout = request.CallerTimeout
 	}
+	if !x.readBody(r, table.Limits.MaxBodyBytes) {
+		return nil
+	}
 	x.lastEventID = request.LastEventID
 	if id, err := strconv.ParseInt(request.LastEventID, 10, 64); err == nil {
 		x.lastEventNumber = id
@@ -132,33 +133,6 @@
 	return x
 }
 
-// readBody reads the whole body, so that the request can be retried at another
-// upstream. It returns an error after it rejected the request or logged that the
-// caller has disconnected.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request, request *call.Request, maxBytes int64) error {
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	if r.ContentLength > 0 && r.ContentLength <= maxBytes {
-		request.Body = make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, request.Body)
-		if err != nil {
-			s.logCause(request, "caller disconnected before its body was read", err.Error())
-		}
-		return err
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	request.Body = body
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		s.reject(w, r, request, http.StatusRequestEntityTooLarge, 0, "body too large")
-	case err != nil:
-		s.logCause(request, "caller disconnected before its body was read", err.Error())
-	}
-	return err
-}
-
 func (s *Server) logCause(request *call.Request, message, cause string) {
 	s.Log.Info(message, "id", string(request.ID), "cause", cause)
 }
@@ -174,6 +148,7 @@
 	}
 	s.Log.Info("request turned away", "id", id, "status", status, "reason", reason, "to", r.Host, "path", r.URL.Path, "table", uint64(version))
 	s.Metrics.RecordRejected(status)
+	abandonBody(w, r)
 	writeRefusal(w, status, retryAfter, reason)
 }
 
