connlimit: no refusal within an answer, none of a request that runs

A connection could be ended between the end of its head and the start of its handler, so that the request would have run after its caller was told 503; and between the return of a handler and the end of its answer, so that a refusal would have stood within the answer. A request on an ended connection is now dropped, and a connection whose request is complete is not ended until it is idle. Bodies that no handler reads have a deadline as well.

Test: TestAnsweredRequestIsNotRefused.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -38,7 +38,9 @@
 	// unnoted is what has arrived since progress was last noted.
 	unnoted   int
 	inHandler bool
-	removed   bool
+	// answered is set from the end of a handler until the connection is idle.
+	answered bool
+	removed  bool
 
 	// renewedAt is when the write deadline was last set here, and ownDeadline is set while the
 	// handler has set one. Only the goroutine that writes uses them.
@@ -142,15 +144,16 @@
 func (c *Conn) becomeIdle() {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.headBytes = 0
+	c.headBytes, c.answered = 0, false
 	c.limiter.ledger.charge(&c.entry, 0)
 	c.limiter.ledger.setPhase(&c.entry, phaseIdle)
 }
 
-// beginRequest notes a complete head.
-func (c *Conn) beginRequest(r *http.Request) {
+// beginRequest notes a complete head. It returns false if the connection was ended before, so that
+// the request must not run.
+func (c *Conn) beginRequest(r *http.Request) bool {
 	if c == nil {
-		return
+		return true
 	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
@@ -161,8 +164,18 @@
 	next := phaseRunning
 	if r.ContentLength != 0 {
 		next = phaseSending
+		c.setBodyDeadline()
 	}
 	c.limiter.ledger.setPhase(&c.entry, next)
+	return c.entry.phase != phaseEnded
+}
+
+// setBodyDeadline limits the time for a body, also if the handler does not read it. The caller holds
+// limiter.mu.
+func (c *Conn) setBodyDeadline() {
+	if timeout := c.limiter.ledger.limits.BodyTimeout; timeout > 0 && c.entry.phase != phaseEnded {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(timeout)) // the next read shows a closed connection
+	}
 }
 
 // beginRun notes that the request is complete. From now on the connection is not ended. It returns
@@ -177,18 +190,17 @@
 	return c.entry.phase != phaseEnded
 }
 
-// endRequest notes that the handler has returned. The rest of a body that it did not read may still
-// be awaited.
+// endRequest notes that the handler has returned. The end of its answer may not have been sent, so a
+// complete request stays in phaseRunning; the rest of a body that was not read may still be awaited.
 func (c *Conn) endRequest() {
 	if c == nil {
 		return
 	}
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.inHandler = false
+	c.inHandler, c.answered = false, true
 	c.limiter.ledger.charge(&c.entry, 0)
 	c.limiter.ledger.hold(&c.entry, 0)
-	c.limiter.ledger.setPhase(&c.entry, phaseSending)
 	c.limiter.changed.Broadcast()
 }
 
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -88,7 +88,9 @@
 	next := s.Handler
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := FromContext(r.Context())
-		c.beginRequest(r)
+		if !c.beginRequest(r) {
+			panic(http.ErrAbortHandler)
+		}
 		defer c.endRequest()
 		next.ServeHTTP(w, r)
 	})
@@ -216,7 +218,7 @@
 // handler is left to refuse the request.
 func (l *Limiter) endLocked(e *entry, needDescriptor bool) {
 	c := e.owner
-	sending := e.phase == phaseSending
+	mayRefuse := e.phase == phaseSending && !c.inHandler && !c.answered && !l.ledger.limits.Encrypted
 	l.ledger.end(e)
 	l.ended.Add(1)
 	l.noteActedLocked()
@@ -225,7 +227,7 @@
 		_ = c.Conn.SetReadDeadline(pastTime) // fails only on a closed connection
 		return
 	}
-	if sending && !c.inHandler && !l.ledger.limits.Encrypted {
+	if mayRefuse {
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTimeout))
 		_, _ = io.WriteString(c.Conn, refusalText) // the caller may have gone
 	}
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -153,3 +154,34 @@
 		t.Errorf("%d bytes of %d, error %v", len(body), cap(body), err)
 	}
 }
+
+// TestAnsweredRequestIsNotRefused guards against a refusal of a request that ran, within its answer
+// or after it, and against running a request that was refused.
+func TestAnsweredRequestIsNotRefused(t *testing.T) {
+	l := NewLimiter(Limits{Conns: 4, Bytes: 1 << 20}, "test", slog.New(slog.DiscardHandler))
+	near, far := net.Pipe()
+	defer far.Close()
+	c := l.admit(near)
+	r := httptest.NewRequest(http.MethodGet, "/", nil)
+	if !c.beginRequest(r) {
+		t.Fatal("the request may not run")
+	}
+	if l.endOne() {
+		t.Error("a running request was ended")
+	}
+	c.endRequest()
+	if l.endOne() {
+		t.Error("a connection was ended whose answer is being sent")
+	}
+	c.becomeIdle()
+	if !l.endOne() {
+		t.Error("an idle connection was not ended")
+	}
+	if c.beginRequest(r) {
+		t.Error("a request may run on a connection that was ended")
+	}
+	_ = c.Close()
+	if n := l.OpenConns(); n != 0 {
+		t.Errorf("%d connections are counted", n)
+	}
+}
--- a/connlimit/limits.go
+++ b/connlimit/limits.go
@@ -14,6 +14,9 @@
 	// WriteTimeout is the longest time in which a caller takes nothing of an answer. Zero means
 	// that the handler sets its own deadlines.
 	WriteTimeout time.Duration
+	// BodyTimeout is the time in which a body has to come, unless the handler sets another. Zero
+	// means that there is none.
+	BodyTimeout time.Duration
 	// Encrypted is set if callers use TLS, so that a connection is ended without a plain answer.
 	Encrypted bool
 }
@@ -37,6 +40,8 @@
 	minConns = 16
 	// defaultWriteTimeout is the default of Limits.WriteTimeout.
 	defaultWriteTimeout = 15 * time.Second
+	// defaultBodyTimeout is the default of Limits.BodyTimeout.
+	defaultBodyTimeout = 30 * time.Second
 )
 
 // LimitsFor returns the limits for a machine with the given memory on which the process may have a
@@ -47,5 +52,8 @@
 	if descriptors > 0 {
 		conns = min(conns, (descriptors-reservedDescriptors)/2)
 	}
-	return Limits{Conns: max(conns, minConns), Bytes: memoryBytes / memoryFraction, WriteTimeout: defaultWriteTimeout}
+	return Limits{
+		Conns: max(conns, minConns), Bytes: memoryBytes / memoryFraction,
+		WriteTimeout: defaultWriteTimeout, BodyTimeout: defaultBodyTimeout,
+	}
 }
