Bound what untrusted callers take of mulberrydyke serve

Bodies had a limit each and a deadline, but none together: 64 callers that stopped just short took up to 581 MB. When all connections were in use, further callers waited for as long as others kept theirs open.

The listeners of web now have the limits of connlimit: the heads and bodies of all callers get a fifth of memory-bytes, and a full host ends the connection without progress for longest instead of letting a new one wait. A body that is refused for want of memory gets body-timeout with a time to come back. The limit of connections by golang.org/x/net is not needed any more.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/url"
 	gopath "path"
@@ -257,26 +256,6 @@
 	return j
 }
 
-// readBody reads the request body within the configured limits of size and time.
-func (s *Server) readBody(c *callContext) ([]byte, error) {
-	controller := http.NewResponseController(c.w)
-	_ = controller.SetReadDeadline(c.arrived.Add(s.bounds.BodyTimeout.Std()))
-	body, err := readBodyBytes(http.MaxBytesReader(c.w, c.r.Body, s.bounds.MaxBodyBytes), c.r.ContentLength)
-	_ = controller.SetReadDeadline(time.Time{})
-	if err == nil {
-		return body, nil
-	}
-	var tooLarge *http.MaxBytesError
-	var timeout interface{ Timeout() bool }
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, refusal.New(refusal.BodyTooLarge, err.Error())
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return nil, refusal.New(refusal.BodyTimeout, "the body did not come in time")
-	}
-	return nil, refusal.New(refusal.BadRequest, "the body broke off")
-}
-
 // run runs a job and writes its answer. A job that is not idempotent runs under
 // the ticket from the request's header.
 func (s *Server) run(c *callContext, j *job.Job) error {
--- a/entry/output.go
+++ b/entry/output.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -104,16 +103,3 @@
 	}
 	web.WriteJSON(w, refused.Row().Status, newErrorResponse(refused))
 }
-
-// maxInitialBodyBuffer limits the buffer that is allocated before any of the body
-// has arrived.
-const maxInitialBodyBuffer = 64 << 10
-
-// readBodyBytes reads a whole body. The declared length determines the initial
-// buffer only up to maxInitialBodyBuffer, since callers can declare any length.
-func readBodyBytes(r io.Reader, length int64) ([]byte, error) {
-	var buffer bytes.Buffer
-	buffer.Grow(int(min(max(length, 512), maxInitialBodyBuffer)))
-	_, err := buffer.ReadFrom(r)
-	return buffer.Bytes(), err
-}
--- a/host/host.go
+++ b/host/host.go
@@ -37,8 +37,6 @@
 const (
 	// auditTrailSize is the number of decisions kept for auditors.
 	auditTrailSize = 2048
-	// maxOperatorConnections limits the connections to the operators' listener.
-	maxOperatorConnections = 64
 	// readinessNoticeDelay is how long a stopping host still accepts requests, so
 	// that the load balancer notices that it is not ready.
 	readinessNoticeDelay = time.Second
@@ -87,6 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{settings: settings, log: log, cancel: cancel, metrics: metric.NewSet(), auditTrail: audit.NewTrail(auditTrailSize)}
 	h.state.Store(plan.NewState())
+	h.cleanups = append(h.cleanups, addProcessMemory(settings.Bounds))
 	if err := h.build(ctx); err != nil {
 		h.close()
 		return nil, nil, err
@@ -211,7 +210,7 @@
 	if err != nil {
 		return eris.Wrap(err, "create the routes for callers")
 	}
-	h.callers, err = web.Listen(h.settings.Listen.Callers, callerHandler, h.settings.Bounds.MaxConnections, tlsConfig)
+	h.callers, err = web.Listen(h.settings.Listen.Callers, callerHandler, h.callerLimiter(), tlsConfig)
 	if err != nil {
 		return eris.Wrap(err, "listen for callers")
 	}
@@ -221,7 +220,7 @@
 	if err != nil {
 		return eris.Wrap(err, "create the routes for operators")
 	}
-	h.operators, err = web.Listen(h.settings.Listen.Operators, operatorHandler, maxOperatorConnections, tlsConfig)
+	h.operators, err = web.Listen(h.settings.Listen.Operators, operatorHandler, h.operatorLimiter(), tlsConfig)
 	if err != nil {
 		return eris.Wrap(err, "listen for operators")
 	}
--- /dev/null
+++ b/host/limits.go
@@ -0,0 +1,51 @@
+package host
+
+import (
+	"fmt"
+	"time"
+
+	"mulberrydyke/connlimit"
+)
+
+const (
+	// maxOperatorConnections limits the connections to the operators' listener, and
+	// maxOperatorBytes the memory for their request heads.
+	maxOperatorConnections = 64
+	maxOperatorBytes       = 8 << 20
+	// operatorTimeout limits the time in which a body has to come there, and in which nothing of
+	// an answer is taken.
+	operatorTimeout = 10 * time.Second
+)
+
+// callerLimiter returns the limiter for the listener for callers. Its handlers set the deadlines for
+// answers themselves.
+func (h *Host) callerLimiter() *connlimit.Limiter {
+	bounds := h.settings.Bounds
+	limits := connlimit.LimitsFor(machineMemory(bounds), 0)
+	limits.Conns = min(limits.Conns, bounds.MaxConnections)
+	limits.BodyTimeout = bounds.BodyTimeout.Std()
+	return h.newLimiter("callers", limits)
+}
+
+// operatorLimiter returns the limiter for the operators' listener. It has its own, so that callers
+// don't end the connections of the load balancer.
+func (h *Host) operatorLimiter() *connlimit.Limiter {
+	return h.newLimiter("operators", connlimit.Limits{
+		Conns: maxOperatorConnections, Bytes: maxOperatorBytes, WriteTimeout: operatorTimeout, BodyTimeout: operatorTimeout,
+	})
+}
+
+func (h *Host) newLimiter(name string, limits connlimit.Limits) *connlimit.Limiter {
+	limits.Encrypted = h.settings.TLS != nil
+	l := connlimit.NewLimiter(limits, name, h.log)
+	gauges := map[string]func() float64{
+		"mulberrydyke_caller_connections":               func() float64 { return float64(l.OpenConns()) },
+		"mulberrydyke_caller_bytes":                     func() float64 { return float64(l.Bytes()) },
+		"mulberrydyke_caller_connections_ended_total":   func() float64 { return float64(l.Ended()) },
+		"mulberrydyke_caller_requests_over_limit_total": func() float64 { return float64(l.Refused()) },
+	}
+	for metric, value := range gauges {
+		h.metrics.RegisterGauge(fmt.Sprintf("%s{listener=%q}", metric, name), value)
+	}
+	return l
+}
--- a/web/web.go
+++ b/web/web.go
@@ -26,7 +26,8 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/stat"
 	"github.com/zeromicro/go-zero/rest"
-	"golang.org/x/net/netutil"
+
+	"mulberrydyke/connlimit"
 )
 
 const (
@@ -37,6 +38,8 @@
 	// would otherwise do some time after a signal to stop.
 	forceQuitDelay = 365 * 24 * time.Hour
 	closeTimeout   = 5 * time.Second
+	// trustedBytes limits the memory for the heads of trusted callers' requests.
+	trustedBytes = 64 << 20
 )
 
 // Handler builds a handler from routes. Requests that match no route go to
@@ -72,9 +75,9 @@
 	done     chan struct{}
 }
 
-// Listen listens on address and serves handler there. At most maxConns connections
-// are open at once; further ones wait. A nil tlsConfig selects plain HTTP.
-func Listen(address string, handler http.Handler, maxConns int, tlsConfig *tls.Config) (*Server, error) {
+// Listen listens on address and serves handler there, within the limits of a limiter. A nil
+// tlsConfig selects plain HTTP.
+func Listen(address string, handler http.Handler, limiter *connlimit.Limiter, tlsConfig *tls.Config) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -88,9 +91,10 @@
 			ErrorLog:          slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug),
 			TLSConfig:         tlsConfig,
 		},
-		listener: netutil.LimitListener(listener, maxConns),
+		listener: limiter.Listen(listener),
 		done:     make(chan struct{}),
 	}
+	limiter.Apply(s.http)
 	go s.serve(tlsConfig != nil)
 	return s, nil
 }
@@ -105,14 +109,15 @@
 	_ = s.http.Serve(s.listener)
 }
 
-// Serve builds a handler from routes and serves it on address over plain HTTP. It
-// returns the address that it listens on and a cleanup function.
+// Serve builds a handler from routes and serves it on address over plain HTTP to trusted callers,
+// on at most maxConns connections. It returns the address that it listens on and a cleanup function.
 func Serve(address string, routes []rest.Route, notFound http.HandlerFunc, maxConns int) (string, func(), error) {
 	handler, err := Handler(routes, notFound)
 	if err != nil {
 		return "", nil, err
 	}
-	s, err := Listen(address, handler, maxConns, nil)
+	limiter := connlimit.NewLimiter(connlimit.Limits{Conns: maxConns, Bytes: trustedBytes}, "routes", slog.New(slog.DiscardHandler))
+	s, err := Listen(address, handler, limiter, nil)
 	if err != nil {
 		return "", nil, err
 	}
--- a/web/web_test.go
+++ b/web/web_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/zeromicro/go-zero/rest"
+
+	"mulberrydyke/connlimit"
 )
 
 // TestRestMiddlewaresAreDisabled checks that all middlewares and limits of rest are
@@ -36,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server, err := Listen("127.0.0.1:0", handler, 10, nil)
+	server, err := Listen("127.0.0.1:0", handler, connlimit.NewLimiter(connlimit.LimitsFor(1<<30, 0), "test", slog.New(slog.DiscardHandler)), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
