--- a/crowd/entryhost_test.go
+++ b/crowd/entryhost_test.go
@@ -163,7 +163,7 @@
 // TestEntryHostOutlivesCrowdAtOtherListeners guards against the same at the listeners for the load
 // balancer and for operators, which outsiders may reach as well.
 func TestEntryHostOutlivesCrowdAtOtherListeners(t *testing.T) {
-	for name, port := range map[string]int{"readiness": readyPort, "metrics": metricsPort} {
+	for name, port := range map[string]int{"readiness": readyPort, "metrics": metricsPort, "peers": peerPort} {
 		for _, s := range scripts("GET /ready HTTP/1.1\r\nHost: crowd\r\n") {
 			t.Run(name+"/"+s.name, func(t *testing.T) { runEntryHostCrowd(t, port, s) })
 		}
