gateway: 400 for malformed bodies, no log line for each refusal by limit

A caller whose chunked body was malformed, or who closed only its sending side midway, got 200 with an empty body from net/http, although the request was not passed on: the handler returned without an answer. It gets 400 now. Refusals because the memory for callers is used up are counted and no longer logged one by one; the limiter logs when a limit is reached.

Test: TestRequestsOverLimitsAreRefused, "malformed chunk", which failed with 200.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -53,22 +53,22 @@
 
 // rejectBody answers a request whose body was not read to its end. It was not passed on.
 func (x *exchange) rejectBody(r *http.Request, err error) {
+	server := x.server
 	var tooLarge *http.MaxBytesError
-	status, retryAfter, reason := 0, time.Duration(0), ""
+	x.w.Header().Set("Connection", "close")
 	switch {
 	case errors.As(err, &tooLarge):
-		status, reason = http.StatusRequestEntityTooLarge, "body too large"
+		server.reject(x.w, r, x.request, http.StatusRequestEntityTooLarge, 0, "body too large")
 	case errors.Is(err, connlimit.ErrLimitReached):
-		status, reason = http.StatusServiceUnavailable, "too many requests are being sent"
-		retryAfter = limitRetryAfter + rand.N(limitRetryAfter)
+		// The limiter logs when its limits are reached, not each request.
+		retryAfter := limitRetryAfter + rand.N(limitRetryAfter)
+		server.writeRejection(x.w, r, http.StatusServiceUnavailable, retryAfter, "too many requests are being sent")
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		status, reason, retryAfter = http.StatusRequestTimeout, "body not sent in time", lateRetryAfter
+		server.reject(x.w, r, x.request, http.StatusRequestTimeout, lateRetryAfter, "body not sent in time")
 	default:
-		x.server.logCause(x.request, "caller disconnected before its body was read", err.Error())
-		return
+		server.logCause(x.request, "caller disconnected before its body was read", err.Error())
+		server.writeRejection(x.w, r, http.StatusBadRequest, 0, "the body broke off")
 	}
-	x.w.Header().Set("Connection", "close")
-	x.server.reject(x.w, r, x.request, status, retryAfter, reason)
 }
 
 // abandonBody limits how much of a body is awaited that is not needed. net/http reads the rest of
--- a/gateway/body_test.go
+++ b/gateway/body_test.go
@@ -56,6 +56,7 @@
 		{"head", "/place/1", "Content-Length: 1\r\nFiller: " + long, "x", 431, false},
 		{"body that stops", "/brief/1", "Content-Length: 10", "x", 408, true},
 		{"chunks that stop", "/brief/1", "Transfer-Encoding: chunked", "1\r\nx\r\n", 408, true},
+		{"malformed chunk", "/place/1", "Transfer-Encoding: chunked", "zz\r\n", 400, false},
 		{"unknown route, body that stops", "/none", "Content-Length: 1000000", "x", 404, false},
 	} {
 		response := f.exchangeRaw(t, c.path, c.header, c.body)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -147,6 +147,11 @@
 		version = t.Version
 	}
 	s.Log.Info("request turned away", "id", id, "status", status, "reason", reason, "to", r.Host, "path", r.URL.Path, "table", uint64(version))
+	s.writeRejection(w, r, status, retryAfter, reason)
+}
+
+// writeRejection is reject without a log line.
+func (s *Server) writeRejection(w http.ResponseWriter, r *http.Request, status int, retryAfter time.Duration, reason string) {
 	s.Metrics.RecordRejected(status)
 	abandonBody(w, r)
 	writeRefusal(w, status, retryAfter, reason)
