connlimit: HTTP/1 only

With TLS, mulberrydyke serve offered HTTP/2. The phases and the memory of a connection stand for one request at a time, so that one request's end would have ended others that ran on the same connection. The listeners offer HTTP/1.1 only.

--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -68,8 +68,11 @@
 	return l.ledger.bytes
 }
 
-// Apply prepares a server for connections that Listen has accepted.
+// Apply prepares a server for connections that Listen has accepted. They carry one request at a time:
+// with HTTP/2, ending what one request takes would end others that run.
 func (l *Limiter) Apply(s *http.Server) {
+	s.Protocols = new(http.Protocols)
+	s.Protocols.SetHTTP1(true)
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if t, ok := c.(*tls.Conn); ok {
 			c = t.NetConn()
