--- a/crowd/ordinary_test.go
+++ b/crowd/ordinary_test.go
@@ -26,8 +26,15 @@
 	header http.Header
 }
 
-// try sends the request once over a new connection, with a body that begins as prefix does.
+// try sends the request once over a new connection.
 func (o ordinary) try(body io.Reader, length int64) (int, error) {
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	return o.send(&http.Client{Transport: transport, Timeout: answerTimeout}, body, length)
+}
+
+// send sends the request once, and returns the status of its answer.
+func (o ordinary) send(client *http.Client, body io.Reader, length int64) (int, error) {
 	r, err := http.NewRequest(http.MethodPost, o.url, body)
 	if err != nil {
 		return 0, err
@@ -35,9 +42,7 @@
 	r.ContentLength = length
 	r.Header = o.header.Clone()
 	r.Host = crowdHost
-	transport := &http.Transport{}
-	defer transport.CloseIdleConnections()
-	response, err := (&http.Client{Transport: transport, Timeout: answerTimeout}).Do(r)
+	response, err := client.Do(r)
 	if err != nil {
 		return 0, err
 	}
