--- a/crowd/callers_test.go
+++ b/crowd/callers_test.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// sendAll lets the callers of all scripts send at once.
+func (c *crowd) sendAll(address string, scripts []script) {
+	var wg sync.WaitGroup
+	for _, s := range scripts {
+		wg.Go(func() { c.send(address, s) })
+	}
+	wg.Wait()
+}
+
 func (c *crowd) close() {
 	for _, conn := range c.conns {
 		_ = conn.Close()
--- a/crowd/entryhost_test.go
+++ b/crowd/entryhost_test.go
@@ -154,12 +154,15 @@
 // TestEntryHostOutlivesCrowd guards against callers who end the process by its memory or its
 // descriptors, or keep it from answering others.
 func TestEntryHostOutlivesCrowd(t *testing.T) {
-	start := "POST /order HTTP/1.1\r\nHost: crowd\r\nRequest-Id: c\r\n"
-	for _, s := range scripts(start) {
+	for _, s := range scripts(entryHostStart) {
 		t.Run(s.name, func(t *testing.T) { runEntryHostCrowd(t, callerPort, s) })
 	}
+	t.Run("all at once", func(t *testing.T) { runEntryHostCrowd(t, callerPort, scripts(entryHostStart)...) })
 }
 
+// entryHostStart is the start of a request to a host, up to its last header line.
+const entryHostStart = "POST /order HTTP/1.1\r\nHost: crowd\r\nRequest-Id: c\r\n"
+
 // TestEntryHostOutlivesCrowdAtOtherListeners guards against the same at the listeners for the load
 // balancer and for operators, which outsiders may reach as well.
 func TestEntryHostOutlivesCrowdAtOtherListeners(t *testing.T) {
@@ -177,14 +180,14 @@
 	runEntryHostCrowd(t, callerPort, script{"", crowdSize, "", repeated(request), 64 * len(request)})
 }
 
-// runEntryHostCrowd checks a host during and after a crowd at one of its ports.
-func runEntryHostCrowd(t *testing.T, port int, s script) {
+// runEntryHostCrowd checks a host during and after crowds at one of its ports.
+func runEntryHostCrowd(t *testing.T, port int, s ...script) {
 	p, ip := startEntryHost(t)
 	o := entryHostOrdinary(ip)
 	o.checkAnswered(t)
 	var c crowd
 	defer c.close()
-	c.send(fmt.Sprintf("%s:%d", ip, port), s)
+	c.sendAll(fmt.Sprintf("%s:%d", ip, port), s)
 	o.checkAnswered(t)
 	p.check(t)
 }
--- a/crowd/serve_test.go
+++ b/crowd/serve_test.go
@@ -97,6 +97,7 @@
 	for _, s := range scripts(serveStart) {
 		t.Run(s.name, func(t *testing.T) { runServeCrowd(t, served.callerAddress, s) })
 	}
+	t.Run("all at once", func(t *testing.T) { runServeCrowd(t, served.callerAddress, scripts(serveStart)...) })
 }
 
 // TestServeOutlivesCrowdAtOperators guards against the same at the listener for operators.
@@ -109,13 +110,13 @@
 func (s served) callerAddress() string   { return s.callers }
 func (s served) operatorAddress() string { return s.operators }
 
-// runServeCrowd checks a host during and after a crowd at one of its listeners.
-func runServeCrowd(t *testing.T, address func(served) string, s script) {
+// runServeCrowd checks a host during and after crowds at one of its listeners.
+func runServeCrowd(t *testing.T, address func(served) string, s ...script) {
 	host := startServe(t)
 	host.ordinary().checkAnswered(t)
 	var c crowd
 	defer c.close()
-	c.send(address(host), s)
+	c.sendAll(address(host), s)
 	host.ordinary().checkAnswered(t)
 	awaitReady(t, host.process, "http://"+host.operators+"/readyz")
 	host.check(t)
