--- a/gossip/fetch.go
+++ b/gossip/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"errors"
 	"io"
 	"net"
 	"net/netip"
@@ -22,6 +23,8 @@
 	fetchTimeout = 1500 * time.Millisecond
 	// serveTimeout bounds one connection from a peer that fetches the lists.
 	serveTimeout = 5 * time.Second
+	// acceptRetryDelay is the time after a failed accept, for example for lack of descriptors.
+	acceptRetryDelay = 100 * time.Millisecond
 	// ackTimeout is the TCP user timeout: how long sent data may stay
 	// unacknowledged.
 	ackTimeout = time.Second
@@ -147,12 +150,20 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for RPC connections")
 	}
+	if n.LimitListener != nil {
+		listener = n.LimitListener(listener)
+	}
 	go func() {
 		for {
 			conn, err := listener.Accept()
-			if err != nil {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil {
+				n.Log.Warn("peer connection not accepted", "cause", err)
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			_ = conn.SetDeadline(time.Now().Add(serveTimeout)) // can fail only on a closed connection
 			go server.ServeConn(&boundedConn{Conn: conn, left: maxRequestBytes})
 		}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -82,9 +82,12 @@
 	// Drains holds the upstreams that have said that they are draining, which hosts tell each
 	// other.
 	Drains *drain.Table
-	Lists  Lists
-	Log    *slog.Logger
-	Now    func() time.Time
+	// LimitListener limits the connections of the RPC listener, which outsiders may reach as well.
+	// It may be nil.
+	LimitListener func(net.Listener) net.Listener
+	Lists         Lists
+	Log           *slog.Logger
+	Now           func() time.Time
 }
 
 // Node exchanges messages with the other hosts.
