Refuse long prompts whose engine has far too long a queue

In a burst of long prompts, callers waited for over three seconds and left before the first event: hosts estimated queues from tokens, speeds and arrival rates, which miss what the caches lack. Hosts now report for how long their requests have waited, and refuse a long prompt at once where the queue takes more than 2.5 latency targets (3.5 for the highest priority), never a more urgent one where a less urgent one is taken. Under overload prompts stay at the engines that have their shared prefix.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -24,7 +24,7 @@
 const urgencies = lowestUrgency + 1
 
 // admitLimits holds, for each urgency, the longest queue with which long prompts of
-// that urgency were last accepted.
+// that urgency were last accepted, in one measure of queues.
 type admitLimits [urgencies]time.Duration
 
 // urgentQueueFactor times the longest queue with which a less urgent prompt is accepted
@@ -63,9 +63,11 @@
 	}
 	speed, baseLatency := g.prefillTiming()
 	wait := time.Duration((t.queueWait(now, speed) + baseLatency/t.relativeSpeed()) * float64(time.Millisecond))
-	if wait <= limit {
+	backlog := t.backlogWait()
+	if wait <= limit && backlog <= g.backlogLimits.limit(q.Urgency, maxBacklog(q)) {
 		return nil
 	}
+	wait = max(wait, backlog)
 	retryAfter := time.Duration((0.5 + q.Jitter) * float64(wait))
 	return &OverloadError{Upstream: t.upstream.ID, Wait: wait, RetryAfter: min(maxRetryAfter, max(minRetryAfter, retryAfter))}
 }
--- /dev/null
+++ b/dispatch/backlog.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import "time"
+
+const (
+	// minBacklogSample is the number of waiting requests from which their waits say how long the
+	// queue of an engine is.
+	minBacklogSample = 2
+	// backlogInterval is how often the mean backlog of a service is computed.
+	backlogInterval = 200 * time.Millisecond
+	// maxBacklogFraction is the number of latency targets that the queue of an engine may take, by
+	// how long requests wait there, for a long prompt to be accepted. Beyond it many callers leave
+	// before the first event, and what was prefilled for them is lost.
+	maxBacklogFraction = 2.5
+	// maxBacklogFractionUrgent is the same number for requests whose priority is the highest.
+	// Engines prefill them before the others that wait.
+	maxBacklogFractionUrgent = 3.5
+	// overloadFraction is the number of latency targets from which a service is overloaded, by the
+	// mean backlog of its engines.
+	overloadFraction = 2.0
+)
+
+// measureOverdue brings the counts of this host's waiting requests up to date.
+func (t *target) measureOverdue(now time.Time) {
+	t.localLoad.waiting, t.localLoad.overdueMs = len(t.awaitingFirstEvent), 0
+	for l := range t.awaitingFirstEvent {
+		overdue := now.Sub(l.AcquiredAt) - l.ownPrefill
+		t.localLoad.overdueMs += max(0, float64(overdue)/float64(time.Millisecond))
+	}
+}
+
+// backlogWait returns how long a prompt waits in the queue of an engine, by how long the waiting
+// requests of all hosts have waited so far: half of their whole wait on average. Unlike an estimate
+// from tokens and speed it also counts what nobody knows, as parts that are not in the cache.
+func (t *target) backlogWait() time.Duration {
+	total := t.totalLoad()
+	if total.waiting < minBacklogSample {
+		return 0
+	}
+	return time.Duration(2 * total.overdueMs / float64(total.waiting) * float64(time.Millisecond))
+}
+
+// overloaded reports whether prompts wait for longer than overloadFraction latency targets at the
+// engines for long prompts on average. Then a prompt that spills to an engine without its shared prefix makes all wait
+// longer, since the prefix is prefilled again.
+func (g *targetGroup) overloaded(now time.Time, latencyTarget time.Duration) bool {
+	if now.Sub(g.backlogAt) >= backlogInterval {
+		g.backlogAt, g.meanBacklog = now, g.computeMeanBacklog()
+	}
+	return latencyTarget > 0 && g.meanBacklog > time.Duration(overloadFraction*float64(latencyTarget))
+}
+
+func (g *targetGroup) computeMeanBacklog() time.Duration {
+	sum, n := time.Duration(0), 0
+	for _, t := range g.targets {
+		if t.usable && t.servesLong {
+			sum += t.backlogWait()
+			n++
+		}
+	}
+	return sum / time.Duration(max(1, n))
+}
+
+// maxBacklog returns the longest queue, by how long requests wait there, with which a long prompt is
+// accepted.
+func maxBacklog(q *Query) time.Duration {
+	fraction := maxBacklogFraction
+	if q.Urgency < priorityLevels {
+		fraction = maxBacklogFractionUrgent
+	}
+	return time.Duration(fraction * float64(q.LatencyTarget))
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -187,7 +187,7 @@
 	if best.target == nil {
 		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
 	}
-	speed, _ := g.prefillTiming()
+	speed, baseLatency := g.prefillTiming()
 	if class == ClassLong {
 		if err := admit(now, g, best.target, &q); err != nil {
 			return nil, err
@@ -199,6 +199,8 @@
 		ShortEngines: g.shortEngines, PrefillSpeed: speed, Speed: best.target.relativeSpeed(),
 	}
 	if class != ClassPlain {
+		ownMs := baseLatency + float64(best.uncachedTokens)/best.target.targetSpeed(speed)
+		l.ownPrefill = time.Duration(ownMs * float64(time.Millisecond))
 		l.expectedWait = best.target.estimatedWait(speed)
 	} else {
 		l.MedianLatency = time.Duration(g.medianLatency() * float64(time.Millisecond))
@@ -231,6 +233,7 @@
 	} else {
 		in.medianLatency = g.medianLatency()
 	}
+	onlyPreferred := class == ClassLong && len(preferred) > 1 && !includeEjected && g.overloaded(now, q.LatencyTarget)
 	for i, t := range g.targets {
 		if t == skipped || t.upstream.State != route.Ready || t.misdirected || excluded(q.Exclude, t.upstream.ID) {
 			continue
@@ -244,6 +247,9 @@
 		}
 		found.candidates++
 		uncached, rank := 0, slices.Index(preferred, i)
+		if onlyPreferred && rank < 0 {
+			continue
+		}
 		if class != ClassPlain {
 			uncached = b.uncachedTokens(now, t, rank, q.Prompt)
 		}
--- a/dispatch/group.go
+++ b/dispatch/group.go
@@ -50,7 +50,10 @@
 	// number of this domain according to a speaker of this group, or zero.
 	otherGroupsWantedShort, remoteWantedShort []int
 	reportedWantedShort                       int
-	admitLimits                               admitLimits
+	admitLimits, backlogLimits                admitLimits
+	// meanBacklog is the mean backlogWait of the engines for long prompts, as of backlogAt.
+	meanBacklog time.Duration
+	backlogAt   time.Time
 	// baselines holds what this host's measurements of all targets of this domain have in
 	// common, and remoteBaselines that of the other domains, whose network latency differs.
 	baselines, remoteBaselines [measurementKinds]baseline
@@ -128,7 +131,7 @@
 // The partition is not kept; it is computed again.
 func (g *targetGroup) inherit(old *targetGroup) {
 	g.wantedShort, g.localTiming, g.localSends = old.wantedShort, old.localTiming, old.localSends
-	g.admitLimits = old.admitLimits
+	g.admitLimits, g.backlogLimits = old.admitLimits, old.backlogLimits
 	g.baselines, g.remoteBaselines = old.baselines, old.remoteBaselines
 	g.estimatedAt, g.latencyTargets = old.estimatedAt, old.latencyTargets
 }
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -35,8 +35,10 @@
 	MedianLatency time.Duration
 	target        *target
 	started       bool
-	released      bool
-	prompt        *call.Prompt
+	// ownPrefill is the time to the first event on an engine without other prompts.
+	ownPrefill time.Duration
+	released   bool
+	prompt     *call.Prompt
 	// expectedWait is the wait in milliseconds that the load of all hosts explained when
 	// the lease was acquired.
 	expectedWait float64
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -300,5 +300,8 @@
 
 // counts converts the load to the type in which totals are kept.
 func (l *Load) counts() loadCounts {
-	return loadCounts{short: l.Short, long: l.Long, plain: l.Plain, pendingTokens: l.PendingTokens, arrivalRate: float64(l.ArrivalRate)}
+	return loadCounts{
+		short: l.Short, long: l.Long, plain: l.Plain, pendingTokens: l.PendingTokens, arrivalRate: float64(l.ArrivalRate),
+		waiting: l.Waiting, overdueMs: float64(l.OverdueMs),
+	}
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -35,6 +35,9 @@
 	// ArrivalRate is the recent rate of prompt tokens sent to the upstream, in
 	// tokens per second.
 	ArrivalRate int
+	// Waiting counts the requests without a first event, and OverdueMs is the sum of the times
+	// in milliseconds by which they have waited longer than their own prefill takes.
+	Waiting, OverdueMs int
 	// Speed holds the recent measurements of the upstream's speed: for each load band,
 	// up to the last that has any, the weight of the measurements and the sum of their
 	// differences from what is expected.
@@ -119,7 +122,8 @@
 		return
 	}
 	r.Loads = append(r.Loads, Load{
-		Upstream: key, Short: load.short, Long: load.long, Plain: load.plain, PendingTokens: load.pendingTokens, ArrivalRate: int(load.arrivalRate), Speed: speed,
+		Upstream: key, Short: load.short, Long: load.long, Plain: load.plain, PendingTokens: load.pendingTokens, ArrivalRate: int(load.arrivalRate),
+		Waiting: load.waiting, OverdueMs: int(load.overdueMs), Speed: speed,
 	})
 }
 
@@ -165,7 +169,7 @@
 // Upper bounds of the encoded size of the elements of a report, in bytes, without
 // the names that they contain.
 const (
-	maxLoadBytes    = 27
+	maxLoadBytes    = 35
 	maxServiceBytes = 72
 	maxKeyBytes     = 5
 	maxDomainBytes  = 14
--- a/dispatch/summary.go
+++ b/dispatch/summary.go
@@ -13,6 +13,7 @@
 	var r Report
 	for _, t := range b.targets {
 		t.decay(now)
+		t.measureOverdue(now)
 		r.addLoad(t.key, t.localLoad, t.measured(now))
 		r.addDown(t.key, t.localVote(now))
 	}
@@ -30,6 +31,7 @@
 	var r Report
 	for _, t := range b.targets {
 		t.decay(now)
+		t.measureOverdue(now)
 		load := t.localLoad
 		load.add(t.groupLoad)
 		sums := t.measured(now)
@@ -51,6 +53,7 @@
 	var r Report
 	for _, t := range b.targets {
 		t.decay(now)
+		t.measureOverdue(now)
 		load := t.localLoad
 		load.add(t.groupLoad)
 		load.add(t.domainLoad)
--- a/dispatch/target.go
+++ b/dispatch/target.go
@@ -40,6 +40,10 @@
 	// arrivalRate is the rate of prompt tokens sent to the upstream in tokens per
 	// second, averaged over arrivalWindow.
 	arrivalRate float64
+	// waiting counts the requests without a first event, and overdueMs is the sum of the times
+	// in milliseconds by which they have waited longer than their own prefill takes.
+	waiting   int
+	overdueMs float64
 }
 
 func (l *loadCounts) add(o loadCounts) {
@@ -48,11 +52,16 @@
 	l.long += o.long
 	l.plain += o.plain
 	l.pendingTokens += o.pendingTokens
+	l.waiting += o.waiting
+	l.overdueMs += o.overdueMs
 }
 
 // scale returns the counts multiplied by n.
 func (l loadCounts) scale(n int) loadCounts {
-	return loadCounts{short: n * l.short, long: n * l.long, plain: n * l.plain, pendingTokens: n * l.pendingTokens, arrivalRate: float64(n) * l.arrivalRate}
+	return loadCounts{
+		short: n * l.short, long: n * l.long, plain: n * l.plain, pendingTokens: n * l.pendingTokens, arrivalRate: float64(n) * l.arrivalRate,
+		waiting: n * l.waiting, overdueMs: float64(n) * l.overdueMs,
+	}
 }
 
 // running returns the number of requests.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -247,7 +247,7 @@
 		if len(l.Speed) > dispatch.MaxSpeedSums {
 			return &DecodeError{Reason: "too many measurements of an upstream"}
 		}
-		if l.Short < 0 || l.Long < 0 || l.Plain < 0 || l.PendingTokens < 0 {
+		if l.Short < 0 || l.Long < 0 || l.Plain < 0 || l.PendingTokens < 0 || l.Waiting < 0 || l.OverdueMs < 0 {
 			return &DecodeError{Reason: "negative load"}
 		}
 	}
--- a/gossip/split_test.go
+++ b/gossip/split_test.go
@@ -26,7 +26,7 @@
 	for i := range rapid.IntRange(0, 1000).Draw(t, "loads") {
 		r.Loads = append(r.Loads, dispatch.Load{
 			Upstream: dispatch.KeyOf(plan.UpstreamID(longName("upstream", i))),
-			Short:    i * 7, Long: i * 5, Plain: i, PendingTokens: i * 40_000, ArrivalRate: i * 1_000_000,
+			Short:    i * 7, Long: i * 5, Plain: i, PendingTokens: i * 40_000, ArrivalRate: i * 1_000_000, Waiting: i * 3, OverdueMs: i * 9_000,
 			Speed: rapid.SliceOfN(rapid.IntRange(-1000, 1000), 0, dispatch.MaxSpeedSums).Draw(t, "speed"),
 		})
 	}
