--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -48,6 +49,19 @@
 	return l
 }
 
+// RegisterGauges registers the limiter's gauges, each labelled with its name.
+func (l *Limiter) RegisterGauges(register func(metric string, value func() float64)) {
+	gauges := map[string]func() float64{
+		"mulberrydyke_caller_connections":               func() float64 { return float64(l.OpenConns()) },
+		"mulberrydyke_caller_bytes":                     func() float64 { return float64(l.Bytes()) },
+		"mulberrydyke_caller_connections_ended_total":   func() float64 { return float64(l.Ended()) },
+		"mulberrydyke_caller_requests_over_limit_total": func() float64 { return float64(l.Refused()) },
+	}
+	for metric, value := range gauges {
+		register(fmt.Sprintf("%s{listener=%q}", metric, l.name), value)
+	}
+}
+
 // Ended returns how many connections were ended because a limit was reached.
 func (l *Limiter) Ended() int64 { return l.ended.Load() }
 
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -43,15 +42,7 @@
 
 func (h *Host) newLimiter(name string, limits connlimit.Limits) *connlimit.Limiter {
 	l := connlimit.NewLimiter(limits, name, h.log)
-	gauges := map[string]func() float64{
-		"mulberrydyke_caller_connections":               func() float64 { return float64(l.OpenConns()) },
-		"mulberrydyke_caller_bytes":                     func() float64 { return float64(l.Bytes()) },
-		"mulberrydyke_caller_connections_ended_total":   func() float64 { return float64(l.Ended()) },
-		"mulberrydyke_caller_requests_over_limit_total": func() float64 { return float64(l.Refused()) },
-	}
-	for metric, value := range gauges {
-		h.metrics.NewGauge(fmt.Sprintf("%s{listener=%q}", metric, name), value)
-	}
+	l.RegisterGauges(func(metric string, value func() float64) { h.metrics.NewGauge(metric, value) })
 	return l
 }
 
--- a/host/limits.go
+++ b/host/limits.go
@@ -1,7 +1,6 @@
 package host
 
 import (
-	"fmt"
 	"time"
 
 	"mulberrydyke/connlimit"
@@ -38,14 +37,6 @@
 func (h *Host) newLimiter(name string, limits connlimit.Limits) *connlimit.Limiter {
 	limits.Encrypted = h.settings.TLS != nil
 	l := connlimit.NewLimiter(limits, name, h.log)
-	gauges := map[string]func() float64{
-		"mulberrydyke_caller_connections":               func() float64 { return float64(l.OpenConns()) },
-		"mulberrydyke_caller_bytes":                     func() float64 { return float64(l.Bytes()) },
-		"mulberrydyke_caller_connections_ended_total":   func() float64 { return float64(l.Ended()) },
-		"mulberrydyke_caller_requests_over_limit_total": func() float64 { return float64(l.Refused()) },
-	}
-	for metric, value := range gauges {
-		h.metrics.RegisterGauge(fmt.Sprintf("%s{listener=%q}", metric, name), value)
-	}
+	l.RegisterGauges(h.metrics.RegisterGauge)
 	return l
 }
