Split the choice of an upstream from its lease; remove gossip.AcquirePermit

Balancer.Acquire did three things in 49 lines: it chose an upstream, decided on admission and filled in the lease. choose and newLease now hold the first and the last. hadShare and replacedBy replace hasShare and or, whose names did not say that the other choice is preferred.

Node.AcquirePermit was used by one test only, which now calls RequestPermit like the gateway. Behavior is meant to be unchanged; no test was added or eased.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -175,27 +175,29 @@
 		g.recordLatencyTarget(class, q.LatencyTarget)
 		b.partition(now, g, s.Engine)
 	}
-	includeEjected := b.tooManyEjected(now, g)
-	best := b.cheapest(now, g, class, &q, s, includeEjected, nil)
-	if best.target == nil {
-		includeEjected = true
-		best = b.cheapest(now, g, class, &q, s, includeEjected, nil)
-	}
-	if class == ClassPlain && best.target != nil && g.hasShare(best.target) {
-		best = best.or(b.cheapest(now, g, class, &q, s, includeEjected, best.target))
-	}
+	best := b.choose(now, g, class, &q, s)
 	if best.target == nil {
 		return nil, &NoUpstreamError{Service: q.Service, Listed: len(g.targets)}
 	}
-	speed, baseLatency := g.prefillTiming()
 	if class == ClassLong {
 		if err := admit(now, g, best.target, &q); err != nil {
 			return nil, err
 		}
 	}
+	l := newLease(now, g, class, best, q.Prompt)
+	best.target.acquire(l)
+	if class != ClassPlain {
+		b.prefixes.recordSent(now, best.target.upstream.ID, q.Prompt)
+	}
+	return l, nil
+}
+
+// newLease returns the lease for a request that goes to the chosen upstream.
+func newLease(now time.Time, g *targetGroup, class Class, best choice, prompt *call.Prompt) *Lease {
+	speed, baseLatency := g.prefillTiming()
 	l := &Lease{
 		Upstream: best.target.upstream, Class: class, UncachedTokens: best.uncachedTokens, AcquiredAt: now, target: best.target,
-		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: q.Prompt,
+		Cost: time.Duration(best.cost * float64(time.Millisecond)), Candidates: best.candidates, prompt: prompt,
 		ShortEngines: g.shortEngines, PrefillSpeed: speed, Speed: best.target.relativeSpeed(),
 	}
 	if class != ClassPlain {
@@ -205,11 +207,22 @@
 	} else {
 		l.MedianLatency = time.Duration(g.medianLatency() * float64(time.Millisecond))
 	}
-	best.target.acquire(l)
-	if class != ClassPlain {
-		b.prefixes.recordSent(now, best.target.upstream.ID, q.Prompt)
+	return l
+}
+
+// choose returns the upstream for a request. Ejected upstreams are considered if no other is
+// left. A slow plain upstream that has had its share is replaced by the next cheapest one.
+func (b *Balancer) choose(now time.Time, g *targetGroup, class Class, q *Query, s *route.Service) choice {
+	includeEjected := b.tooManyEjected(now, g)
+	best := b.cheapest(now, g, class, q, s, includeEjected, nil)
+	if best.target == nil {
+		includeEjected = true
+		best = b.cheapest(now, g, class, q, s, includeEjected, nil)
 	}
-	return l, nil
+	if class == ClassPlain && best.target != nil && g.hadShare(best.target) {
+		best = best.replacedBy(b.cheapest(now, g, class, q, s, includeEjected, best.target))
+	}
+	return best
 }
 
 // choice is the cheapest upstream found so far.
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -23,10 +23,10 @@
 	}
 }
 
-// hasShare reports whether a slow upstream of a plain service has had its share of this
+// hadShare reports whether a slow upstream of a plain service has had its share of this
 // host's requests: its speed times what the other upstreams of its domain got on average.
 // Idle upstreams all cost the same, so that the cost alone would send it more.
-func (g *targetGroup) hasShare(t *target) bool {
+func (g *targetGroup) hadShare(t *target) bool {
 	speed := t.relativeSpeed()
 	if speed >= 1 {
 		return false
@@ -41,8 +41,8 @@
 	return n > 0 && t.plainSends > speed*sum/float64(n)
 }
 
-// or returns the other choice, unless there is none or it costs far more.
-func (c choice) or(other choice) choice {
+// replacedBy returns the other choice, or this one if there is no other or it costs far more.
+func (c choice) replacedBy(other choice) choice {
 	if other.target == nil || other.cost > c.cost+maxShareCost {
 		return c
 	}
--- a/gossip/permits.go
+++ b/gossip/permits.go
@@ -25,12 +25,6 @@
 	decision chan ratelimit.Decision
 }
 
-// AcquirePermit is RequestPermit for a caller that sends the request at once.
-func (n *Node) AcquirePermit(ctx context.Context, u *route.Upstream, urgency int) bool {
-	_, ok := n.RequestPermit(ctx, u, urgency)
-	return ok
-}
-
 // RequestPermit gets a permit to send one request of the given urgency to an upstream whose
 // rate is limited. It asks the hosts that give out the parts of the rate until one grants a
 // permit, and reports whether one did. Whether the permit still holds when the request is sent
--- a/gossip/ratelimit_test.go
+++ b/gossip/ratelimit_test.go
@@ -109,7 +109,11 @@
 		return d.mayUse(h)
 	}
 	at, ok := h.Limiter.AvailableAt(d.now, d.upstream, urgency)
-	return ok && !at.After(d.now) && h.AcquirePermit(context.Background(), d.upstream, urgency)
+	if !ok || at.After(d.now) {
+		return false
+	}
+	_, granted := h.RequestPermit(context.Background(), d.upstream, urgency)
+	return granted
 }
 
 // mostFrom returns the largest number of requests that arrived in any limitSpan from a time
