Clearer names and comments of learned speed, admission, cold limits and suspects

Bounds of the backlog are numbers of latency targets above 1, not fractions, and are named so. The sums of a baseline are described. Two unnamed numbers are constants: the weight that a measurement keeps in any case, and the weight below which measurements are ignored. Tests of learned speed say which failure they guard against.

Behavior is unchanged.

--- a/dispatch/backlog.go
+++ b/dispatch/backlog.go
@@ -3,21 +3,21 @@
 import "time"
 
 const (
-	// minBacklogSample is the number of waiting requests from which their waits say how long the
-	// queue of an engine is.
+	// minBacklogSample is the number of waiting requests below which their waits are not taken
+	// as the length of an engine's queue.
 	minBacklogSample = 2
 	// backlogInterval is how often the mean backlog of a service is computed.
 	backlogInterval = 200 * time.Millisecond
-	// maxBacklogFraction is the number of latency targets that the queue of an engine may take, by
-	// how long requests wait there, for a long prompt to be accepted. Beyond it many callers leave
-	// before the first event, and what was prefilled for them is lost.
-	maxBacklogFraction = 2.5
-	// maxBacklogFractionUrgent is the same number for requests whose priority is the highest.
+	// maxBacklogTargets is the longest wait at an engine, in latency targets, with which a long prompt
+	// is accepted there. Beyond it many callers leave before the first event, and what was prefilled
+	// for them is lost.
+	maxBacklogTargets = 2.5
+	// maxBacklogTargetsUrgent is the same bound for requests of the highest priority.
 	// Engines prefill them before the others that wait.
-	maxBacklogFractionUrgent = 3.5
-	// overloadFraction is the number of latency targets from which a service is overloaded, by the
-	// mean backlog of its engines.
-	overloadFraction = 2.0
+	maxBacklogTargetsUrgent = 3.5
+	// overloadTargets is the mean wait at the engines for long prompts, in latency targets, above
+	// which a service is overloaded.
+	overloadTargets = 2.0
 )
 
 // measureOverdue brings the counts of this host's waiting requests up to date.
@@ -31,7 +31,8 @@
 
 // backlogWait returns how long a prompt waits in the queue of an engine, by how long the waiting
 // requests of all hosts have waited so far: half of their whole wait on average. Unlike an estimate
-// from tokens and speed it also counts what nobody knows, as parts that are not in the cache.
+// from tokens and speed it also covers what hosts don't know, such as parts that are missing in
+// the cache.
 func (t *target) backlogWait() time.Duration {
 	total := t.totalLoad()
 	if total.waiting < minBacklogSample {
@@ -40,16 +41,17 @@
 	return time.Duration(2 * total.overdueMs / float64(total.waiting) * float64(time.Millisecond))
 }
 
-// overloaded reports whether prompts wait for longer than overloadFraction latency targets at the
-// engines for long prompts on average. Then a prompt that spills to an engine without its shared prefix makes all wait
-// longer, since the prefix is prefilled again.
+// overloaded reports whether prompts wait for longer than overloadTargets latency targets at the
+// engines for long prompts on average. Then a prompt that spills to an engine without its shared
+// prefix makes all wait longer, since the prefix is prefilled again.
 func (g *targetGroup) overloaded(now time.Time, latencyTarget time.Duration) bool {
 	if now.Sub(g.backlogAt) >= backlogInterval {
 		g.backlogAt, g.meanBacklog = now, g.computeMeanBacklog()
 	}
-	return latencyTarget > 0 && g.meanBacklog > time.Duration(overloadFraction*float64(latencyTarget))
+	return latencyTarget > 0 && g.meanBacklog > time.Duration(overloadTargets*float64(latencyTarget))
 }
 
+// computeMeanBacklog returns the mean wait at the usable engines for long prompts.
 func (g *targetGroup) computeMeanBacklog() time.Duration {
 	sum, n := time.Duration(0), 0
 	for _, t := range g.targets {
@@ -64,9 +66,9 @@
 // maxBacklog returns the longest queue, by how long requests wait there, with which a long prompt is
 // accepted.
 func maxBacklog(q *Query) time.Duration {
-	fraction := maxBacklogFraction
+	targets := maxBacklogTargets
 	if q.Urgency < priorityLevels {
-		fraction = maxBacklogFractionUrgent
+		targets = maxBacklogTargetsUrgent
 	}
-	return time.Duration(fraction * float64(q.LatencyTarget))
+	return time.Duration(targets * float64(q.LatencyTarget))
 }
--- a/dispatch/baseline.go
+++ b/dispatch/baseline.go
@@ -6,13 +6,13 @@
 )
 
 const (
-	// baselineDecay is the factor by which each new measurement reduces the weight of the
-	// earlier ones in a baseline, unless more come within baselineWindow.
+	// baselineDecay is the least factor by which a new measurement reduces the weight of
+	// the earlier ones in a baseline, so that rare measurements are kept for longer than
+	// baselineWindow.
 	baselineDecay = 0.99
-	// baselineWindow is the time constant with which the measurements of a busy service
-	// decay.
+	// baselineWindow is the time constant with which frequent measurements decay.
 	baselineWindow = 10 * time.Second
-	// minBaselineWeight is the weight from which a baseline is compared with.
+	// minBaselineWeight is the weight of the measurements below which a baseline is not used.
 	minBaselineWeight = 5
 	// slopeRidge is the weight of the assumed slopes. It keeps the slopes stable while all
 	// measurements are made at about the same load.
@@ -73,19 +73,23 @@
 // baseline is the expected logarithm of a duration as a linear function of the load,
 // fitted to the measurements of all upstreams of a service.
 type baseline struct {
-	weight, sumY         float64
-	sum, products, withY relativeLoad
-	sumMixed             float64
-	// squares is the sum of the squared residuals.
-	squares    float64
-	recordedAt time.Time
+	// weight is the decayed number of measurements, and sumY the sum of their logarithms.
+	weight, sumY float64
+	// sum and squaredSum are the sums of the loads and of their squares, and withY those of
+	// the loads times the logarithm of the measurement.
+	sum, squaredSum, withY relativeLoad
+	// sumMixed is the sum of the products of both parts of the load.
+	sumMixed float64
+	// squaredResiduals is the sum of the squared residuals.
+	squaredResiduals float64
+	recordedAt       time.Time
 }
 
 // slopes returns the slopes of the fit.
 func (b *baseline) slopes(assumed relativeLoad) relativeLoad {
 	slots, prefill := b.sum.slots/b.weight, b.sum.prefill/b.weight
-	varSlots := max(0, b.products.slots-b.sum.slots*slots) + slopeRidge
-	varPrefill := max(0, b.products.prefill-b.sum.prefill*prefill) + slopeRidge
+	varSlots := max(0, b.squaredSum.slots-b.sum.slots*slots) + slopeRidge
+	varPrefill := max(0, b.squaredSum.prefill-b.sum.prefill*prefill) + slopeRidge
 	mixed := b.sumMixed - b.sum.slots*prefill
 	slotsY := b.withY.slots - b.sumY*slots + slopeRidge*assumed.slots
 	prefillY := b.withY.prefill - b.sumY*prefill + slopeRidge*assumed.prefill
@@ -109,7 +113,7 @@
 
 // variance returns the variance of the measurements about the baseline.
 func (b *baseline) variance() float64 {
-	return (b.squares + initialVarianceWeight*initialVariance) / (b.weight + initialVarianceWeight)
+	return (b.squaredResiduals + initialVarianceWeight*initialVariance) / (b.weight + initialVarianceWeight)
 }
 
 // record adds a measurement at a load. known is what is already known of how far the
@@ -129,20 +133,20 @@
 	b.sumY += adjusted
 	b.sum.slots += load.slots
 	b.sum.prefill += load.prefill
-	b.products.slots += load.slots * load.slots
-	b.products.prefill += load.prefill * load.prefill
+	b.squaredSum.slots += load.slots * load.slots
+	b.squaredSum.prefill += load.prefill * load.prefill
 	b.sumMixed += load.slots * load.prefill
 	b.withY.slots += load.slots * adjusted
 	b.withY.prefill += load.prefill * adjusted
-	b.squares += residual * residual
+	b.squaredResiduals += residual * residual
 	return difference, weight
 }
 
-// scale multiplies all sums by a factor.
+// scale multiplies all sums by a factor, so that earlier measurements count less.
 func (b *baseline) scale(factor float64) {
 	for _, sum := range []*float64{
-		&b.weight, &b.sumY, &b.sum.slots, &b.sum.prefill, &b.products.slots, &b.products.prefill,
-		&b.withY.slots, &b.withY.prefill, &b.sumMixed, &b.squares,
+		&b.weight, &b.sumY, &b.sum.slots, &b.sum.prefill, &b.squaredSum.slots, &b.squaredSum.prefill,
+		&b.withY.slots, &b.withY.prefill, &b.sumMixed, &b.squaredResiduals,
 	} {
 		*sum *= factor
 	}
--- a/dispatch/cost.go
+++ b/dispatch/cost.go
@@ -110,6 +110,7 @@
 	now   time.Time
 	class Class
 	query *Query
+	// group holds the upstreams of the service.
 	group *targetGroup
 	// failureFloor is the failure rate that is normal for the service.
 	failureFloor float64
--- a/dispatch/lease.go
+++ b/dispatch/lease.go
@@ -34,11 +34,11 @@
 	// that none has been measured.
 	MedianLatency time.Duration
 	target        *target
-	started       bool
-	// ownPrefill is the time to the first event on an engine without other prompts.
+	prompt        *call.Prompt
+	// started is set after the first event.
+	started, released bool
+	// ownPrefill is the expected time to the first event on an engine without other prompts.
 	ownPrefill time.Duration
-	released   bool
-	prompt     *call.Prompt
 	// expectedWait is the wait in milliseconds that the load of all hosts explained when
 	// the lease was acquired.
 	expectedWait float64
--- a/dispatch/measure.go
+++ b/dispatch/measure.go
@@ -77,7 +77,8 @@
 	maxPrefillLoad = 0.85
 )
 
-// relativeLoad returns the load that the requests of all hosts put on the target.
+// relativeLoad returns the load that the requests of all hosts put on the target. The arrival
+// rate of this host is decayed to now, since it is otherwise brought up to date by reports only.
 func (t *target) relativeLoad(now time.Time, g *targetGroup) relativeLoad {
 	total := t.totalLoad()
 	age := max(0, now.Sub(t.decayedAt).Seconds())
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -243,7 +243,7 @@
 	}
 }
 
-// sumBytes returns the size of encoded sums of measurements.
+// sumBytes returns the size of sums of measurements in CBOR, without the head of the list.
 func sumBytes(list []int) int {
 	size := 0
 	for _, v := range list {
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -22,8 +22,8 @@
 	// minUsedWeight is the weight below which measurements are ignored.
 	minUsedWeight = 0.1
 	// newWeightFactor times the weight that is left of earlier measurements, plus
-	// minNewWeight, is the weight from which there are new ones. Sums in reports are
-	// rounded and up to 1.25 s old.
+	// minNewWeight, is the weight above which there are new ones. Sums in reports may be
+	// 1.25 s old, in which they decay by this factor, and are rounded.
 	newWeightFactor = 1.37
 	minNewWeight    = 0.2
 	// sparseWeight is the weight of measurements up to which they are kept for
@@ -171,7 +171,8 @@
 	return b
 }
 
-// growLimit raises the learned limit after a time.
+// growLimit raises the learned limit after a time, of which a second counts at most, so that
+// a pause in the traffic does not lift the limit at once.
 func (k *learned) growLimit(age time.Duration) {
 	if k.loadLimit == 0 {
 		k.loadLimit = defaultLoadLimit
@@ -270,7 +271,7 @@
 	k := &t.learned
 	deviation := k.difference - center
 	k.speed = 1
-	standardError := math.Sqrt(unitVariance / max(0.1, k.below(loadBands).weight))
+	standardError := math.Sqrt(unitVariance / max(minUsedWeight, k.below(loadBands).weight))
 	estimate := math.Exp(-k.confidence * deviation)
 	if math.Abs(deviation) > significance*standardError && (estimate < minEqualSpeed || estimate > maxEqualSpeed) {
 		k.speed = min(maxRelativeSpeed, max(minRelativeSpeed, estimate))
--- a/dispatch/speed_test.go
+++ b/dispatch/speed_test.go
@@ -15,9 +15,9 @@
 	"mulberrydyke/route"
 )
 
-// TestSlowEnginesGetTheirShare checks that slow engines are found, that they get no more
-// than their share of the prompts, and that first events come sooner than when all are
-// taken to be alike (load: 12 engines, one quarter at 0.55 and the rest at 1.2, below and
+// TestSlowEnginesGetTheirShare guards against slow engines that are not found or get more
+// than their share of the prompts, and against first events that come no sooner than when all
+// are taken to be alike (load: 12 engines, one quarter at 0.55 and the rest at 1.2, below and
 // near what they can take).
 func TestSlowEnginesGetTheirShare(t *testing.T) {
 	for _, perSecond := range []float64{120, 240} {
@@ -48,9 +48,9 @@
 	}
 }
 
-// TestSlowPlainUpstreamsGetTheirShare checks that upstreams of a plain service get
-// requests in proportion to their speed, although they are less than twice as slow as the
-// median (load: one quarter at 0.7, most of the time idle or half used).
+// TestSlowPlainUpstreamsGetTheirShare guards against upstreams of a plain service that get
+// more requests than their speed allows, since they are less than twice as slow as the median
+// (load: one quarter at 0.7, most of the time idle or half used).
 func TestSlowPlainUpstreamsGetTheirShare(t *testing.T) {
 	for _, perSecond := range []float64{300, 1500} {
 		var shares [2]float64
@@ -70,8 +70,8 @@
 	}
 }
 
-// TestSpeedsFollowChanges checks that estimates follow a change within seconds although
-// three of ten reports are lost (load: the slow quarter recovers after 15 s while another
+// TestSpeedsFollowChanges guards against estimates that don't follow a change within seconds
+// while three of ten reports are lost (load: the slow quarter recovers after 15 s while another
 // becomes slow).
 func TestSpeedsFollowChanges(t *testing.T) {
 	s := newSimulation(engineService, 4, func(i int) func(time.Time, float64) float64 {
@@ -91,8 +91,8 @@
 	}
 }
 
-// TestNoiseBurstsAreTolerated checks that upstreams that are slow for a moment now and
-// then don't count as slow (load: 15 in 100 of the upstreams are 2.5 times slower for 0.6 s
+// TestNoiseBurstsAreTolerated guards against upstreams that count as slow because they are
+// slow for a moment now and then (load: 15 in 100 of the upstreams are 2.5 times slower for 0.6 s
 // of each 3 s).
 func TestNoiseBurstsAreTolerated(t *testing.T) {
 	for _, service := range []*route.Service{engineService, plainService} {
@@ -121,8 +121,8 @@
 	}
 }
 
-// TestAlikeUpstreamsAreServedAsBefore checks that measurements that differ by less than a
-// fifth change no decision, whether they are this host's or other hosts' (load: speeds of
+// TestAlikeUpstreamsAreServedAsBefore guards against decisions that change because of
+// measurements that differ by less than a fifth, of this host or of others (load: speeds of
 // 0.96 to 1.04, half of what the upstreams can take).
 func TestAlikeUpstreamsAreServedAsBefore(t *testing.T) {
 	for _, service := range []*route.Service{engineService, plainService} {
@@ -141,8 +141,8 @@
 	}
 }
 
-// recordStreams records streams of two hosts: those of a0 have the given gaps at each
-// number of running requests, those of the other engines gaps of 20 ms.
+// recordStreams records streams on all engines while another host reports the number of running
+// requests: those of a0 have the given gaps at each number, those of the others gaps of 20 ms.
 func recordStreams(b *Balancer, now time.Time, gap func(running int) time.Duration) {
 	for i, running := range []int{8, 34, 58} {
 		now := now.Add(time.Duration(i) * 80 * time.Millisecond)
@@ -162,8 +162,8 @@
 	}
 }
 
-// TestLoadLimitOfSlowingEngine checks that an engine that slows down from three quarters
-// of its slots on gets a lower limit than the others, and no lower speed (load: one engine
+// TestLoadLimitOfSlowingEngine guards against an engine that slows down from three quarters
+// of its slots on and gets no lower limit than the others, or a lower speed (load: one engine
 // of 12 has gaps of 50 instead of 20 ms there).
 func TestLoadLimitOfSlowingEngine(t *testing.T) {
 	b := newTestBalancer("h", 4)
@@ -186,9 +186,9 @@
 	}
 }
 
-// TestEstimatesAreForgotten checks that the estimate of an upstream without measurements
-// returns to the mean, and that a restarted process starts without one although other
-// hosts still report the former process (load: one engine at a third of the speed).
+// TestEstimatesAreForgotten guards against a slow upstream that is never tried again because
+// its estimate stays, and against a restarted process that is taken to be as slow as the former
+// one, which other hosts still report (load: one engine at a third of the speed).
 func TestEstimatesAreForgotten(t *testing.T) {
 	b := newTestBalancer("h", 4)
 	now := startTime
@@ -222,8 +222,8 @@
 	}
 }
 
-// TestSlowEnginesKeepPrefixesOfOthersInPlace checks that an engine that becomes slow loses
-// prefixes, and that no prefix moves between the other engines.
+// TestSlowEnginesKeepPrefixesOfOthersInPlace guards against an engine that becomes slow and
+// keeps all its prefixes, and against prefixes that then move between the other engines.
 func TestSlowEnginesKeepPrefixesOfOthersInPlace(t *testing.T) {
 	g := newTestBalancer("h", 4).groups["pool"]
 	for _, t := range g.targets {
@@ -253,9 +253,9 @@
 	}
 }
 
-// TestReportedSumsAreClamped checks that sums of any size are decoded to values that can
-// be added, that sums in range are decoded as they were encoded, and that they take no more
-// bytes than reports are split by.
+// TestReportedSumsAreClamped guards against malformed sums that make a speed extreme, against
+// sums that change when they are encoded and decoded, and against sums that take more bytes
+// than reports are split by.
 func TestReportedSumsAreClamped(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		list := rapid.SliceOf(rapid.OneOf(rapid.Int(), rapid.IntRange(-100, 100))).Draw(t, "sums")
--- a/dispatch/speedsums.go
+++ b/dispatch/speedsums.go
@@ -11,6 +11,8 @@
 	// maxSpeedWeightPerSecond bounds the weight that the measurements of one host get
 	// for one upstream, so that a busy host does not outvote all others.
 	maxSpeedWeightPerSecond = 5.0
+	// minMeasurementWeight is what a measurement is not reduced below by that bound.
+	minMeasurementWeight = 0.02
 )
 
 // loadBandStarts are the shares of an upstream's slots in use from which each load band
@@ -41,8 +43,9 @@
 
 // speedSums holds the measurements of one upstream by this host, as of decayedAt.
 type speedSums struct {
-	bands      [loadBands]bandSum
-	decayedAt  time.Time
+	bands     [loadBands]bandSum
+	decayedAt time.Time
+	// recordedAt is when the last measurement was added.
 	recordedAt time.Time
 }
 
@@ -65,7 +68,7 @@
 func (s *speedSums) record(now time.Time, load, difference, weight float64) {
 	s.decay(now)
 	sinceLast := max(0, now.Sub(s.recordedAt).Seconds())
-	weight = min(weight, max(0.02, sinceLast*maxSpeedWeightPerSecond))
+	weight = min(weight, max(minMeasurementWeight, sinceLast*maxSpeedWeightPerSecond))
 	s.recordedAt = now
 	band := &s.bands[loadBandOf(load)]
 	band.weight += weight
--- a/gossip/cold_test.go
+++ b/gossip/cold_test.go
@@ -13,7 +13,7 @@
 
 const (
 	// coldSpan is the span in which a cold upstream may get coldOvershoot times what its rate
-	// allows, and coldSlack requests.
+	// allows, plus coldSlack requests.
 	coldSpan      = time.Second
 	coldOvershoot = 1.5
 	coldSlack     = 5
@@ -21,9 +21,9 @@
 	maxSendDelay = 40 * time.Millisecond
 )
 
-// coldDay sends requests to random hosts of a fleet, which send as many as they may to an
+// coldSimulation sends requests to random hosts of a fleet, which send as many as they may to an
 // upstream that is cold.
-type coldDay struct {
+type coldSimulation struct {
 	*simFleet
 	upstream *route.Upstream
 	service  *route.Service
@@ -42,16 +42,16 @@
 	at     time.Time
 }
 
-func newColdDay(t *testing.T, size limitFleet, loss, rate float64) *coldDay {
-	return &coldDay{
+func newColdSimulation(t *testing.T, size limitFleet, loss, rate float64) *coldSimulation {
+	return &coldSimulation{
 		simFleet: newSimFleet(t, size.domains, size.hostsPerDomain, 10, loss),
 		upstream: &route.Upstream{ID: "cold", Service: "pool", StartedAt: start}, until: start.Add(time.Hour),
 		service: &route.Service{ID: "pool", ColdRate: rate},
 	}
 }
 
-// step sends what is due, then the requests of one step.
-func (d *coldDay) step() {
+// step sends what is due, then lets callers ask for eight times the rate of the upstream.
+func (d *coldSimulation) step() {
 	d.sends = slices.DeleteFunc(d.sends, func(s pendingSend) bool {
 		if s.host.down || d.now.Before(s.at) {
 			return false
@@ -70,7 +70,7 @@
 
 // request lets a host serve one request. Some hosts know that the upstream is cold from the
 // list, some since they lost a connection, and those that serve nothing do not know.
-func (d *coldDay) request(h *simHost, urgency int) {
+func (d *coldSimulation) request(h *simHost, urgency int) {
 	c, _ := ratelimit.NewCold(d.upstream, d.service, d.until, coldOvershoot, coldSlack)
 	if h.IP.As4()[3]%2 == 0 {
 		h.Limiter.RecordLost(d.now, c)
@@ -92,7 +92,7 @@
 
 // check checks that no second before the end of the limit has more requests than allowed, and
 // that a share of the rate was used since a time.
-func (d *coldDay) check(t *testing.T, from time.Time, minUsed float64) {
+func (d *coldSimulation) check(t *testing.T, from time.Time, minUsed float64) {
 	t.Helper()
 	most, first, allowed := 0, 0, int(coldOvershoot*d.service.ColdRate+coldSlack)
 	for i, at := range d.arrivals {
@@ -111,7 +111,7 @@
 }
 
 // countBetween returns the number of requests that were sent from a time until another one.
-func (d *coldDay) countBetween(from, to time.Time) int {
+func (d *coldSimulation) countBetween(from, to time.Time) int {
 	n := 0
 	for _, at := range d.arrivals {
 		if !at.Before(from) && at.Before(to) {
@@ -122,7 +122,7 @@
 }
 
 // holder returns the host that gives out one part of the upstream's rate.
-func (d *coldDay) holder(part int) int {
+func (d *coldSimulation) holder(part int) int {
 	a := d.hosts[0].Limiter.Holders.Of(d.upstream.ProcessKey())[part%3]
 	return slices.IndexFunc(d.hosts, func(h *simHost) bool { return h.IP == a })
 }
@@ -131,36 +131,36 @@
 type coldCase struct {
 	faultCase
 	// coldTrouble is called each second, with its number.
-	coldTrouble func(d *coldDay, second int)
+	coldTrouble func(d *coldSimulation, second int)
 }
 
 // coldCases returns the troubles of faultCases, and others of cold upstreams and their holders.
 func coldCases() []coldCase {
 	out := []coldCase{
 		{faultCase: faultCase{name: "no datagram lost", minUsed: 0.7}},
-		{faultCase{name: "one holder, then another dies", minUsed: 0.3}, func(d *coldDay, second int) {
+		{faultCase{name: "one holder, then another dies", minUsed: 0.3}, func(d *coldSimulation, second int) {
 			if second == 3 || second == 16 {
 				d.hosts[d.holder(second)].down = true
 			}
 		}},
-		{faultCase{name: "a holder restarts every second", minUsed: 0.4}, func(d *coldDay, second int) { d.restart(d.holder(second)) }},
-		{faultCase{name: "two domains are cut from each other", minUsed: 0.5}, func(d *coldDay, _ int) {
+		{faultCase{name: "a holder restarts every second", minUsed: 0.4}, func(d *coldSimulation, second int) { d.restart(d.holder(second)) }},
+		{faultCase{name: "two domains are cut from each other", minUsed: 0.5}, func(d *coldSimulation, _ int) {
 			for _, h := range d.hosts {
 				h.cutFrom = func(o *simHost) bool { return h.Domain != o.Domain && max(h.Domain, o.Domain) == simDomain(1) }
 			}
 		}},
-		{faultCase{name: "hosts are paused, callers come in waves"}, func(d *coldDay, second int) {
+		{faultCase{name: "hosts are paused, callers come in waves"}, func(d *coldSimulation, second int) {
 			for i, h := range d.hosts {
 				h.down = i%3 == 0 && second%8 >= 5
 			}
 			d.idle = second%2 == 0
 		}},
-		{faultCase{name: "hosts are paused between permit and send"}, func(d *coldDay, second int) {
+		{faultCase{name: "hosts are paused between permit and send"}, func(d *coldSimulation, second int) {
 			d.paused, d.idle = second%3 > 0, second%9 == 0
 		}},
 	}
 	for _, c := range faultCases() {
-		out = append(out, coldCase{faultCase: c, coldTrouble: func(d *coldDay, second int) {
+		out = append(out, coldCase{faultCase: c, coldTrouble: func(d *coldSimulation, second int) {
 			if c.trouble != nil {
 				c.trouble(d.simFleet, second)
 			}
@@ -178,7 +178,7 @@
 			for _, rate := range []float64{13, 16} {
 				t.Run(fmt.Sprintf("%s, %d hosts, rate %v", c.name, size.domains*size.hostsPerDomain, rate), func(t *testing.T) {
 					t.Parallel()
-					d := newColdDay(t, size, c.loss, rate)
+					d := newColdSimulation(t, size, c.loss, rate)
 					d.run(5*time.Second, d.step)
 					from := d.now
 					for second := range max(30, c.seconds) {
@@ -205,7 +205,7 @@
 			for _, loss := range []float64{0, 0.05, 0.3} {
 				t.Run(fmt.Sprintf("%d hosts in %v, loss %v", size.domains*size.hostsPerDomain, time.Duration(spread)*simStep, loss), func(t *testing.T) {
 					t.Parallel()
-					d := newColdDay(t, size, loss, 16)
+					d := newColdSimulation(t, size, loss, 16)
 					starts := map[*simHost]time.Time{}
 					for _, h := range d.hosts {
 						h.down, starts[h] = true, d.now.Add(time.Duration(d.random.IntN(spread))*simStep)
@@ -229,7 +229,7 @@
 // to an upstream that has just warmed up, and against limits that don't end.
 func TestShareOfAnUpstreamRisesAfterItWasCold(t *testing.T) {
 	for _, size := range limitFleets() {
-		d := newColdDay(t, size, 0.05, 16)
+		d := newColdSimulation(t, size, 0.05, 16)
 		d.until = start.Add(6 * time.Second)
 		d.run(10*time.Second, d.step)
 		d.check(t, d.until, 1)
--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -12,13 +12,15 @@
 
 // clearedCrash is a crash that a suspect has been cleared of.
 type clearedCrash struct {
+	// at is when the suspect noticed the crash.
 	at time.Time
 	// soon is set if that suspect is a part of a prompt, and the request that cleared it
 	// began within clearWindow.
 	soon bool
 }
 
-// clearedCrashes holds the crashes that suspects have been cleared of, of those seen lately.
+// clearedCrashes holds the latest crashes that suspects have been cleared of, in two generations
+// to bound their number.
 type clearedCrashes struct{ recent, older map[CrashID]clearedCrash }
 
 func newClearedCrashes() clearedCrashes {
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// evidence is what the suspects of all crashes together tell about each of them.
+// evidence is what the crashes of all suspects say about each suspect.
 type evidence struct {
 	// noticed is when each crash was first noticed. Requests on the same upstream may
 	// notice its crash one after the other.
@@ -33,7 +33,7 @@
 	return e
 }
 
-// note records when a crash was noticed, by one of the requests on the upstream.
+// note keeps the earliest time at which a request on the upstream noticed its crash.
 func (e *evidence) note(id CrashID, at time.Time) {
 	if first, ok := e.noticed[id]; !ok || at.Before(first) {
 		e.noticed[id] = at
--- a/quarantine/evidence_test.go
+++ b/quarantine/evidence_test.go
@@ -9,10 +9,10 @@
 )
 
 var (
-	rules  = Trait{Key: 1, Depth: 1}
-	poison = Trait{Key: 2, Depth: 2}
-	fine   = Trait{Key: 3, Depth: 2}
-	other  = Trait{Key: 4, Depth: 2}
+	sharedPart   = Trait{Key: 1, Depth: 1}
+	crashingPart = Trait{Key: 2, Depth: 2}
+	soundPart    = Trait{Key: 3, Depth: 2}
+	otherPart    = Trait{Key: 4, Depth: 2}
 )
 
 // partEvent is a crash under requests with the given traits, or an answer to one of them.
@@ -40,14 +40,14 @@
 // because upstreams that ended within a second for another reason were running them.
 func TestCrashesForAnotherReasonBlameNoPart(t *testing.T) {
 	const ms = time.Millisecond
-	all := []Trait{rules, fine, poison}
+	all := []Trait{sharedPart, soundPart, crashingPart}
 	tests := map[string][]partEvent{
-		"nothing cleared": {{0, []Trait{rules, fine}, false}, {250 * ms, []Trait{rules, other}, false}, {500 * ms, []Trait{rules, fine}, false}, {900 * ms, []Trait{rules, other}, false}},
-		"same crashes":    {{0, all, false}, {250 * ms, all, false}, {500 * ms, all, false}, {900 * ms, []Trait{rules}, true}},
-		"cleared after restart": {{0, []Trait{rules, fine}, false}, {250 * ms, []Trait{rules, fine}, false}, {500 * ms, []Trait{rules, fine}, false},
-			{4 * time.Second, []Trait{rules, other}, true}},
-		"other crashes between": {{0, []Trait{rules, fine}, false}, {250 * ms, []Trait{rules, fine}, false}, {400 * ms, []Trait{rules, other}, false},
-			{500 * ms, []Trait{rules, fine}, false}, {900 * ms, []Trait{rules, other}, true}},
+		"nothing cleared": {{0, []Trait{sharedPart, soundPart}, false}, {250 * ms, []Trait{sharedPart, otherPart}, false}, {500 * ms, []Trait{sharedPart, soundPart}, false}, {900 * ms, []Trait{sharedPart, otherPart}, false}},
+		"same crashes":    {{0, all, false}, {250 * ms, all, false}, {500 * ms, all, false}, {900 * ms, []Trait{sharedPart}, true}},
+		"cleared after restart": {{0, []Trait{sharedPart, soundPart}, false}, {250 * ms, []Trait{sharedPart, soundPart}, false}, {500 * ms, []Trait{sharedPart, soundPart}, false},
+			{4 * time.Second, []Trait{sharedPart, otherPart}, true}},
+		"other crashes between": {{0, []Trait{sharedPart, soundPart}, false}, {250 * ms, []Trait{sharedPart, soundPart}, false}, {400 * ms, []Trait{sharedPart, otherPart}, false},
+			{500 * ms, []Trait{sharedPart, soundPart}, false}, {900 * ms, []Trait{sharedPart, otherPart}, true}},
 	}
 	for name, events := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -63,14 +63,14 @@
 // it can be told from the parts that ran beside it, and against refusals of these.
 func TestPartThatStandsOutIsBlamed(t *testing.T) {
 	const ms = time.Millisecond
-	both := []Trait{rules, fine, poison}
+	both := []Trait{sharedPart, soundPart, crashingPart}
 	table, last := play([]partEvent{{0, both, false}, {250 * ms, both, false}, {500 * ms, both, false},
-		{900 * ms, []Trait{rules, other}, true}, {1000 * ms, []Trait{rules, poison}, false}})
+		{900 * ms, []Trait{sharedPart, otherPart}, true}, {1000 * ms, []Trait{sharedPart, crashingPart}, false}})
 	now := last.Add(settleTime)
-	if table.QuarantineLeft(now, []Trait{poison}) == 0 {
+	if table.QuarantineLeft(now, []Trait{crashingPart}) == 0 {
 		t.Error("the part that crashes upstreams is not refused")
 	}
-	if left := table.QuarantineLeft(now, []Trait{rules, fine}); left > 0 {
+	if left := table.QuarantineLeft(now, []Trait{sharedPart, soundPart}); left > 0 {
 		t.Errorf("sound requests are refused for %v", left)
 	}
 }
@@ -79,7 +79,7 @@
 // the other because no other requests run that could be told from it.
 func TestPartThatGoesOnCrashingIsBlamed(t *testing.T) {
 	const ms = time.Millisecond
-	bad := []Trait{rules, poison}
+	bad := []Trait{sharedPart, crashingPart}
 	table, last := play([]partEvent{{0, bad, false}, {800 * ms, bad, false}, {1600 * ms, bad, false}})
 	if table.QuarantineLeft(last.Add(settleTime), bad) == 0 {
 		t.Error("not refused after three crashes")
--- a/ratelimit/cold.go
+++ b/ratelimit/cold.go
@@ -71,7 +71,7 @@
 	size atomic.Int64
 	mu   sync.Mutex
 	// listed holds those that the list of upstreams names, and lost those that this host could
-	// not reach and that may have restarted.
+	// not connect to and that may have restarted.
 	listed, lost map[route.ProcessKey]Cold
 }
 
@@ -97,8 +97,8 @@
 	s.size.Store(int64(len(s.listed) + len(s.lost)))
 }
 
-// cold reports whether an upstream is cold. s.mu must be held.
-func (s *coldSet) cold(now time.Time, k route.ProcessKey) bool {
+// isCold reports whether an upstream is cold. s.mu must be held.
+func (s *coldSet) isCold(now time.Time, k route.ProcessKey) bool {
 	return now.Before(s.listed[k].Until) || now.Before(s.lost[k].Until)
 }
 
@@ -120,7 +120,7 @@
 		if c.ended(now) {
 			continue
 		}
-		if now.Before(c.Until) && !s.cold(now, c.Key) {
+		if now.Before(c.Until) && !s.isCold(now, c.Key) {
 			began = append(began, c)
 		}
 		next[c.Key] = c
@@ -130,9 +130,8 @@
 	return began
 }
 
-// RecordLost records that this host could not connect to an upstream, or lost a connection to
-// it. It may have restarted and be cold, whatever the list of upstreams says. Later calls extend
-// the time. It reports whether the upstream was not known as cold.
+// RecordLost records that this host could not connect to an upstream. It may have restarted and
+// be cold, whatever the list of upstreams says. Later calls extend the time. It reports whether the upstream was not known as cold.
 func (l *Limiter) RecordLost(now time.Time, c Cold) bool {
 	s := &l.cold
 	s.mu.Lock()
@@ -141,7 +140,7 @@
 	if c.Limit.Rate == NoLimit || c.ended(now) {
 		return false
 	}
-	isNew := !s.cold(now, c.Key)
+	isNew := !s.isCold(now, c.Key)
 	c.Until = later(c.Until, s.lost[c.Key].Until)
 	s.lost[c.Key] = c
 	s.size.Store(int64(len(s.listed) + len(s.lost)))
@@ -156,12 +155,12 @@
 	s.expire(now)
 	n := 0
 	for k := range s.listed {
-		if s.cold(now, k) {
+		if s.isCold(now, k) {
 			n++
 		}
 	}
 	for k := range s.lost {
-		if _, both := s.listed[k]; !both && s.cold(now, k) {
+		if _, both := s.listed[k]; !both && s.isCold(now, k) {
 			n++
 		}
 	}
--- a/ratelimit/cold_test.go
+++ b/ratelimit/cold_test.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// TestColdUpstreamsEnd checks when an upstream counts as cold: as long as the list says so, or
-// this host has lost it, and gradually less after that.
+// TestColdUpstreamsEnd guards against upstreams that are sent all requests while the list calls
+// them cold or soon after this host could not connect, and against limits that never end.
 func TestColdUpstreamsEnd(t *testing.T) {
 	l := NewLimiter(start, testAddr, "a", nil)
 	cold := func(k route.ProcessKey, until int) Cold {
--- a/ratelimit/grantor.go
+++ b/ratelimit/grantor.go
@@ -15,9 +15,9 @@
 	// yet that another host gives them out, and who has some from its predecessor.
 	settleTime = 3 * time.Second
 	// coldSettleTime is the same for cold limits, if the host has heard of another one of its
-	// domain. What a predecessor gave out counts for no longer, and a fleet that starts anew serves
-	// soon. A few hosts may not know all others by then, but a host that takes itself for the
-	// holder by mistake serves just its own requests.
+	// domain. Their bound is over one second, so what a predecessor gave out no longer counts, and
+	// a fleet whose hosts all restart serves soon. A host that does not know all others by then may
+	// take itself for the holder, but only its own requests ask it.
 	coldSettleTime = time.Second
 	// asksPerPermit is how many asks the holder wants to get for each permit that it has
 	// to give, and minAsksPerSecond how many it takes in any case. With more, a permit
@@ -111,6 +111,7 @@
 		out.Holder, out.RetryAfter = own, redirectPause
 		return out
 	case part >= parts:
+		// A limit with few permits has fewer parts, and this one has no permits.
 		out.RetryAfter = redirectPause
 		return out
 	case now.Before(readyAt):
@@ -132,7 +133,7 @@
 
 // readyAt returns when the host may give out its first permit under a limit.
 func (g *Grantor) readyAt(limit Limit) time.Time {
-	if limit.Announced != NoLimit || !g.holders.knowsDomain() {
+	if limit.Announced != NoLimit || !g.holders.knowsOtherHost() {
 		return g.startedAt.Add(settleTime)
 	}
 	return g.startedAt.Add(coldSettleTime)
--- a/ratelimit/holders.go
+++ b/ratelimit/holders.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// knowsDomain reports whether this host has seen any other host of its domain.
-func (h *Holders) knowsDomain() bool {
+// knowsOtherHost reports whether this host has seen any other host of its domain.
+func (h *Holders) knowsOtherHost() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return len(h.hosts[h.domain]) > 0
