Check evacuations and cold upstreams in the fault soak

The soak ran no evacuation and no cold upstream, so that a host that sent requests to an evacuated domain, or hosts that together flooded an upstream that had just started, passed it.

One seed of three evacuates a failure domain beside the other faults. A run there counts as a violation if the evacuation was in force for the 5 s before it and neither its host, the store nor the machine was disturbed in these. Every other seed has cold upstreams in the pool, with short streams as extra load. No second of a process's cold time may have more than 14 requests at a rate of 6, whatever disturbs the hosts. Requests answered with 421 and deliveries of a link that was held up do not count.

TestCheckInvariantsReportsViolations has a case for each new check and for what it permits.

--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -74,6 +74,9 @@
 
 // rewrite writes what the store has lost, unless the key was written anew meanwhile.
 func (f *fleet) rewrite(key string, value json.RawMessage) {
+	if f.rewriteEvacuation(key) {
+		return
+	}
 	f.store.mu.Lock()
 	current, listed := f.store.entries[key]
 	f.store.mu.Unlock()
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -232,7 +232,7 @@
 // disturbUpstreamLink disturbs the link to a random upstream.
 func (inj *faultInjector) disturbUpstreamLink(rng *rand.Rand, duration time.Duration) {
 	u := inj.pickUpstream(rng)
-	defer inj.fleet.beginDisturbance(u.id, false)()
+	defer inj.fleet.beginDisturbance(linkComponent(u.id), false)()
 	inj.fleet.logf("%s: link disturbed for %v", u.id, duration)
 	disturbLink(u.proxy, rng, duration)
 }
--- a/soak/host_test.go
+++ b/soak/host_test.go
@@ -104,6 +104,9 @@
 retryWindowS = 10
 retryBudgetExtra = %d
 reuseWindowS = 8
+evacuateMs = 5000
+coldOvershoot = 1.5
+coldSlack = 5
 [platform]
 address = %q
 `, h.name, h.ip, h.domain, internalPort, internalPort+15, strings.Join(h.seedAddresses, `","`), h.ip, callerPort, h.ip, readyPort,
--- a/soak/judge_self_test.go
+++ b/soak/judge_self_test.go
@@ -25,6 +25,23 @@
 	return f, r, run
 }
 
+// evacuateBefore evacuates the domain of a run some time before it starts.
+func evacuateBefore(f *fleet, run *upstreamRun, d time.Duration) {
+	run.domain = "a"
+	f.evacuation = &evacuation{domain: "a", writtenAt: run.startedAt.Add(-d), removedAt: run.startedAt.Add(time.Second)}
+}
+
+// addColdArrivals adds requests within one second at a cold upstream.
+func addColdArrivals(f *fleet, start time.Time, count int) {
+	if len(f.allUpstreams) == 0 {
+		f.allUpstreams = []*fakeUpstream{{id: "u1"}}
+	}
+	u := f.allUpstreams[0]
+	for i := range count {
+		u.coldArrivals = append(u.coldArrivals, coldArrival{at: start.Add(time.Duration(i) * 900 * time.Millisecond / time.Duration(count))})
+	}
+}
+
 // TestCheckInvariantsReportsViolations guards against checks that never fail: each
 // violation must be reported, and behavior that is permitted must not be.
 func TestCheckInvariantsReportsViolations(t *testing.T) {
@@ -81,6 +98,31 @@
 			r.status, r.complete, r.abandonedAt = 0, false, r.sentAt.Add(10*time.Millisecond)
 			run.endedAt = r.abandonedAt.Add(2 * time.Second)
 		}, "still ran"},
+		"run in an evacuated domain": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			evacuateBefore(f, run, 6*time.Second)
+		}, "was evacuated"},
+		"run soon after an evacuation": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			evacuateBefore(f, run, 4*time.Second)
+		}, ""},
+		"run after the end of an evacuation": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			evacuateBefore(f, run, 6*time.Second)
+			f.evacuation.removedAt = run.startedAt.Add(-time.Millisecond)
+		}, ""},
+		"run in an evacuated domain, from a disturbed host": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			evacuateBefore(f, run, 6*time.Second)
+			f.disturbances = []disturbance{{component: hostComponent(0), from: run.startedAt.Add(-2 * time.Second), to: run.startedAt}}
+		}, ""},
+		"too many requests at a cold upstream": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			addColdArrivals(f, run.startedAt, maxColdArrivals+1)
+		}, "while cold"},
+		"as many requests as a cold upstream accepts": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			addColdArrivals(f, run.startedAt, maxColdArrivals)
+			addColdArrivals(f, run.startedAt.Add(2*time.Second), maxColdArrivals)
+		}, ""},
+		"too many requests at a cold upstream, over a link that was held up": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
+			addColdArrivals(f, run.startedAt, maxColdArrivals+1)
+			f.disturbances = []disturbance{{component: linkComponent("u1"), from: run.startedAt.Add(-time.Second), to: run.startedAt.Add(time.Millisecond)}}
+		}, ""},
 		"unexpected exit": {idempotentRequest, func(f *fleet, _ *requestRecord, _ *upstreamRun) { f.hosts[0].unexpectedExits = []string{"died"} }, "died"},
 		"retry budget exceeded": {idempotentRequest, func(f *fleet, _ *requestRecord, run *upstreamRun) {
 			for range retryExtra + 2 {
--- a/soak/judge_test.go
+++ b/soak/judge_test.go
@@ -64,6 +64,8 @@
 	violations = append(violations, f.checkPoison()...)
 	violations = append(violations, f.checkLimit()...)
 	violations = append(violations, f.checkDrains(runs)...)
+	violations = append(violations, f.checkEvacuation(records)...)
+	violations = append(violations, f.checkCold()...)
 	return append(violations, f.checkRetryBudget(runs)...)
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,6 +93,7 @@
 func runSeed(t *testing.T, seed uint64, secondOctet int) {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	size := randomSize(rng)
+	size.cold = seed%coldSeeds == 1
 	f := newFleet(t, size, secondOctet)
 	started := time.Now()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -115,6 +116,11 @@
 	if seed%poisonSeeds == 0 {
 		callers.Go(func() { f.generator.sendPoison(callersCtx, rand.New(rand.NewPCG(seed, 4))) })
 	}
+	if size.cold {
+		for i := range uint64(coldCallers) {
+			callers.Go(func() { f.generator.sendShortStreams(callersCtx, rand.New(rand.NewPCG(seed, 9+i))) })
+		}
+	}
 	if seed%limitSeeds == 1 {
 		limitCtx, endLimit := context.WithCancel(callersCtx)
 		defer endLimit()
@@ -127,6 +133,9 @@
 		callers.Go(func() { f.restoreStore(callersCtx, rand.New(rand.NewPCG(seed, 7))) })
 	}
 	injector := &faultInjector{t: t, fleet: f, processLocks: make([]sync.Mutex, len(f.hosts))}
+	if seed%evacuateSeeds == 0 {
+		injector.wg.Go(func() { f.evacuateDomain(ctx, rand.New(rand.NewPCG(seed, 8)), *faultSpan) })
+	}
 	injector.run(ctx, rng, *faultSpan, 8+rng.IntN(10))
 	f.logf("all faults ended")
 	violations := f.awaitServed(recoveryTimeout)
@@ -144,7 +153,7 @@
 		saveLogs(t, f, seed)
 	}
 	t.Logf("%d hosts, all ready %v after the last start, %d requests, %d runs, %d complete responses%s",
-		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary+f.limitSummary+f.drainSummary)
+		len(f.hosts), timeToReady, len(f.generator.records), len(f.runLog.runs), f.completedCount(), f.poisonSummary+f.limitSummary+f.drainSummary+f.evacuationSummary+f.coldSummary)
 }
 
 // completedCount returns the number of requests with a complete successful response.
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -18,6 +18,7 @@
 // upstreamRun is one execution of a request by an upstream.
 type upstreamRun struct {
 	id, upstream       string
+	domain             string
 	startedAt, endedAt time.Time
 	account, body      string
 	// keyForwarded reports whether the request carried an Authorization header, that is
@@ -83,6 +84,10 @@
 	// crashed is set from the end of the process to its next start.
 	crashed bool
 	limit   namedLimit
+	// coldStart is how long each process is cold, and coldArrivals what arrived then, but for
+	// requests that were answered with 421.
+	coldStart    time.Duration
+	coldArrivals []coldArrival
 	// saysDraining is set while its answers say that it is draining.
 	saysDraining bool
 	// endless, if set, holds the start of all answers and the text that follows without end.
@@ -167,7 +172,7 @@
 	u.sequence++
 	return map[string]any{
 		"service": u.service, "address": u.proxy.Address(), "zone": u.domain, "version": "v1", "slots": upstreamSlots,
-		"state": state, "coldRemainingMs": 0, "sequence": u.sequence, "born": u.startedAt.UnixMilli(),
+		"state": state, "coldRemainingMs": max(0, u.coldStart-time.Since(u.startedAt)).Milliseconds(), "sequence": u.sequence, "born": u.startedAt.UnixMilli(),
 	}
 }
 
@@ -200,6 +205,9 @@
 func (u *fakeUpstream) handle(conn net.Conn, r *http.Request, body string) bool {
 	id := r.Header.Get("Request-Id")
 	u.recordArrival(id)
+	if r.Header.Get("Expect-Instance") == u.id {
+		u.recordColdArrival()
+	}
 	mode, oddRequest := u.nextRequest()
 	if expectedInstance := r.Header.Get("Expect-Instance"); expectedInstance != u.id || mode == modeOverloaded {
 		status := http.StatusServiceUnavailable
@@ -210,7 +218,7 @@
 		return true
 	}
 	run := &upstreamRun{
-		id: id, upstream: u.id, startedAt: time.Now(), account: r.Header.Get("Tenant"), body: body,
+		id: id, upstream: u.id, domain: u.domain, startedAt: time.Now(), account: r.Header.Get("Tenant"), body: body,
 		keyForwarded: r.Header.Get("Authorization") != "", path: r.URL.Path,
 		poisoned: strings.Contains(r.Header.Get("Prompt-Prefix"), poisonPart),
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -24,7 +24,11 @@
 
 // fleetSize is the number of hosts, upstreams and callers in a run. The upstreams
 // belong to two services, pool and app.
-type fleetSize struct{ domains, hostsPerDomain, poolUpstreams, appUpstreams, callers int }
+type fleetSize struct {
+	domains, hostsPerDomain, poolUpstreams, appUpstreams, callers int
+	// cold reports whether upstreams of the pool are cold after they start.
+	cold bool
+}
 
 // fleet is the system under test in one run: hosts as real processes, and stand-ins
 // for the store, the upstreams and the callers.
@@ -36,7 +40,9 @@
 
 	mu sync.Mutex
 	// upstreams holds the upstreams that are not draining.
-	upstreams     []*fakeUpstream
+	upstreams []*fakeUpstream
+	// allUpstreams holds all upstreams ever added.
+	allUpstreams  []*fakeUpstream
 	configVersion int
 	keys          map[string]*keyLifetime
 	// drainingSince holds, by upstream ID, when the store acknowledged the draining state.
@@ -55,6 +61,13 @@
 	limitSummary string
 	// drainSummary is the result of checkDrains in words.
 	drainSummary string
+	// evacuation is the evacuation of this run, or nil, and evacuationSummary the result of
+	// checkEvacuation in words.
+	evacuation        *evacuation
+	evacuationSummary string
+	// cold is fleetSize.cold, and coldSummary the result of checkCold in words.
+	cold        bool
+	coldSummary string
 	// eventLog holds timestamped lines that are printed if the run fails.
 	eventLog  []string
 	startedAt time.Time
@@ -110,6 +123,7 @@
 	t.Helper()
 	f := &fleet{
 		store: newFakeStore(), runLog: &runLog{}, keys: map[string]*keyLifetime{}, drainingSince: map[string]time.Time{}, startedAt: time.Now(),
+		cold: size.cold,
 	}
 	f.generator = &loadGenerator{fleet: f}
 	t.Cleanup(f.store.server.Close)
@@ -174,6 +188,13 @@
 			"timeoutMs": 4000, "targetLatencyMs": 500, "maxAttempts": attemptLimit, "priority": 1, "streamResume": k == resumableStream,
 		}
 	}
+	pool := map[string]any{
+		"name": "pool", "healthPath": "/health", "maxConnections": 200,
+		"engine": map[string]any{"slots": upstreamSlots, "kvCapacityTokens": 100000, "stride": 4},
+	}
+	if f.cold {
+		pool["coldStartS"], pool["coldPerS"] = coldStart.Seconds(), coldRate
+	}
 	acknowledgedAt := f.store.put("op/config", map[string]any{
 		"version": f.configVersion,
 		"routes": []any{
@@ -182,8 +203,7 @@
 		},
 		"services": []any{
 			map[string]any{"name": "app", "healthPath": "/health", "maxConnections": 200},
-			map[string]any{"name": "pool", "healthPath": "/health", "maxConnections": 200,
-				"engine": map[string]any{"slots": upstreamSlots, "kvCapacityTokens": 100000, "stride": 4}},
+			pool,
 		},
 		"limits":  map[string]any{"maxBodyBytes": 1 << 20, "maxHeaderBytes": 1 << 14, "idleTimeoutMs": 10000},
 		"tenants": []any{map[string]any{"name": "acme", "priority": 1, "apiKeys": keys}},
@@ -248,10 +268,14 @@
 		return nil
 	}
 	t.Cleanup(u.close)
+	if f.cold && service == "pool" {
+		u.setColdStart(coldStart)
+	}
 	f.store.put("servers/"+id, u.storeValue("ready"))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.upstreams = append(f.upstreams, u)
+	f.allUpstreams = append(f.allUpstreams, u)
 	return u
 }
 
