Mend what the read-through found in admission by waits

Under overload a prompt whose preferred engines can't be had went to an engine on probation while others were free: engines without its prefix are tried before ejected ones now. Waits that were over counted until the next report; they are counted when they are used. Crashes that were cleared keep the time at which they were first noticed.

Tests: TestOverloadLeavesOtherHealthyEngines, TestWaitsEndWithTheFirstEvent.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -24,7 +24,7 @@
 const urgencies = lowestUrgency + 1
 
 // admitLimits holds, for each urgency, the longest queue with which long prompts of
-// that urgency were last accepted, in one measure of queues.
+// that urgency may be accepted, as of the last of them, in one measure of queues.
 type admitLimits [urgencies]time.Duration
 
 // urgentQueueFactor times the longest queue with which a less urgent prompt is accepted
@@ -63,8 +63,8 @@
 	}
 	speed, baseLatency := g.prefillTiming()
 	wait := time.Duration((t.queueWait(now, speed) + baseLatency/t.relativeSpeed()) * float64(time.Millisecond))
-	backlog := t.backlogWait()
-	if wait <= limit && backlog <= g.backlogLimits.limit(q.Urgency, maxBacklog(q)) {
+	backlog, backlogLimit := t.backlogWait(now), g.backlogLimits.limit(q.Urgency, maxBacklog(q))
+	if wait <= limit && backlog <= backlogLimit {
 		return nil
 	}
 	wait = max(wait, backlog)
--- a/dispatch/backlog_test.go
+++ b/dispatch/backlog_test.go
@@ -21,9 +21,11 @@
 // longEngines returns the engines for long prompts, after the partition of the first request.
 func longEngines(t *testing.T, b *Balancer) []plan.UpstreamID {
 	t.Helper()
-	if _, err := b.Acquire(startTime, testQuery(longPromptWithPrefix("s")), engineService); err != nil {
+	l, err := b.Acquire(startTime, testQuery(longPromptWithPrefix("s")), engineService)
+	if err != nil {
 		t.Fatal(err)
 	}
+	b.Release(startTime, l, Done)
 	var ids []plan.UpstreamID
 	for id, target := range b.targets {
 		if target.servesLong {
@@ -114,3 +116,54 @@
 		}
 	}
 }
+
+// TestOverloadLeavesOtherHealthyEngines guards against an engine on probation that is chosen while
+// healthy ones are free, because the preferred engines of a prefix can't be had under overload.
+func TestOverloadLeavesOtherHealthyEngines(t *testing.T) {
+	b := newTestBalancer("h", 8)
+	engines := longEngines(t, b)
+	g := b.groups["pool"]
+	q := testQuery(longPromptWithPrefix("s"))
+	q.LatencyTarget, q.Urgency = time.Second, 1
+	preferred := g.preferredEngines(q.Prompt.SharedPrefixID(), ClassLong)
+	for _, i := range preferred {
+		q.Exclude = append(q.Exclude, g.targets[i].upstream.ID)
+	}
+	probation := plan.UpstreamID("")
+	for _, id := range engines {
+		if !excluded(q.Exclude, id) && probation == "" {
+			probation = id
+			b.targets[id].eject(startTime.Add(-baseEjectionTime))
+		}
+	}
+	reportBacklog(b, 1200*time.Millisecond, engines...)
+	l, err := b.Acquire(startTime.Add(backlogInterval), q, engineService)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l.Upstream.ID == probation {
+		t.Errorf("%s was chosen on probation", probation)
+	}
+}
+
+// TestWaitsEndWithTheFirstEvent guards against refusals because of waits that are over.
+func TestWaitsEndWithTheFirstEvent(t *testing.T) {
+	b := newSmallEngineBalancer()
+	var leases []*Lease
+	for range 3 {
+		l, err := b.Acquire(startTime, testQuery(longPromptWithPrefix("s")), engineService)
+		if err != nil {
+			t.Fatal(err)
+		}
+		leases = append(leases, l)
+	}
+	b.Report(after(time.Second))
+	for _, l := range leases {
+		b.RecordFirstEvent(after(time.Second), l)
+	}
+	for id, target := range b.targets {
+		if wait := target.backlogWait(after(time.Second)); wait != 0 {
+			t.Errorf("%s: prompts wait for %v", id, wait)
+		}
+	}
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -213,14 +213,20 @@
 // choose returns the upstream for a request. Ejected upstreams are considered if no other is
 // left. A slow plain upstream that has had its share is replaced by the next cheapest one.
 func (b *Balancer) choose(now time.Time, g *targetGroup, class Class, q *Query, s *route.Service) choice {
-	includeEjected := b.tooManyEjected(now, g)
-	best := b.cheapest(now, g, class, q, s, includeEjected, nil)
+	from := candidates{includeEjected: b.tooManyEjected(now, g)}
+	from.onlyPreferred = class == ClassLong && g.overloaded(now, q.LatencyTarget)
+	best := b.cheapest(now, g, class, q, s, from)
+	if best.target == nil && from.onlyPreferred {
+		from.onlyPreferred = false
+		best = b.cheapest(now, g, class, q, s, from)
+	}
 	if best.target == nil {
-		includeEjected = true
-		best = b.cheapest(now, g, class, q, s, includeEjected, nil)
+		from.includeEjected = true
+		best = b.cheapest(now, g, class, q, s, from)
 	}
 	if class == ClassPlain && best.target != nil && g.hadShare(best.target) {
-		best = best.replacedBy(b.cheapest(now, g, class, q, s, includeEjected, best.target))
+		from.skipped = best.target
+		best = best.replacedBy(b.cheapest(now, g, class, q, s, from))
 	}
 	return best
 }
@@ -233,10 +239,19 @@
 	candidates     int
 }
 
-// cheapest returns the upstream with the lowest cost that has a connection left.
-// With includeEjected it also considers upstreams that are ejected or on
-// probation. It does not consider the target skipped.
-func (b *Balancer) cheapest(now time.Time, g *targetGroup, class Class, q *Query, s *route.Service, includeEjected bool, skipped *target) choice {
+// candidates tells which targets of a group may be chosen.
+type candidates struct {
+	// includeEjected also allows upstreams that are ejected or on probation.
+	includeEjected bool
+	// onlyPreferred allows only the preferred engines of the prompt's prefix, if there are
+	// several.
+	onlyPreferred bool
+	// skipped is a target that may not be chosen, or nil.
+	skipped *target
+}
+
+// cheapest returns the candidate with the lowest cost that has a connection left.
+func (b *Balancer) cheapest(now time.Time, g *targetGroup, class Class, q *Query, s *route.Service, from candidates) choice {
 	found := choice{cost: math.Inf(1)}
 	in := costInput{now: now, class: class, query: q, group: g, failureFloor: g.failureFloor(now)}
 	var preferred []int
@@ -246,23 +261,23 @@
 	} else {
 		in.medianLatency = g.medianLatency()
 	}
-	onlyPreferred := class == ClassLong && len(preferred) > 1 && !includeEjected && g.overloaded(now, q.LatencyTarget)
+	onlyPreferred := from.onlyPreferred && len(preferred) > 1
 	for i, t := range g.targets {
-		if t == skipped || t.upstream.State != route.Ready || t.misdirected || excluded(q.Exclude, t.upstream.ID) {
+		if t == from.skipped || t.upstream.State != route.Ready || t.misdirected || excluded(q.Exclude, t.upstream.ID) {
 			continue
 		}
 		skip := b.ejected(now, t) || t.onProbation(now) && !q.Retryable
-		if skip && !includeEjected || t.atCapacity(s) {
+		if skip && !from.includeEjected || t.atCapacity(s) {
 			continue
 		}
 		if q.Throttled != nil && q.Throttled(t.upstream) {
 			continue
 		}
-		found.candidates++
 		uncached, rank := 0, slices.Index(preferred, i)
 		if onlyPreferred && rank < 0 {
 			continue
 		}
+		found.candidates++
 		if class != ClassPlain {
 			uncached = b.uncachedTokens(now, t, rank, q.Prompt)
 		}
--- a/dispatch/peers.go
+++ b/dispatch/peers.go
@@ -302,6 +302,6 @@
 func (l *Load) counts() loadCounts {
 	return loadCounts{
 		short: l.Short, long: l.Long, plain: l.Plain, pendingTokens: l.PendingTokens, arrivalRate: float64(l.ArrivalRate),
-		waiting: l.Waiting, overdueMs: float64(l.OverdueMs),
+		waiting: min(l.Waiting, maxReportedWaiting), overdueMs: float64(min(l.OverdueMs, maxReportedOverdueMs)),
 	}
 }
--- a/dispatch/report.go
+++ b/dispatch/report.go
@@ -123,7 +123,7 @@
 	}
 	r.Loads = append(r.Loads, Load{
 		Upstream: key, Short: load.short, Long: load.long, Plain: load.plain, PendingTokens: load.pendingTokens, ArrivalRate: int(load.arrivalRate),
-		Waiting: load.waiting, OverdueMs: int(load.overdueMs), Speed: speed,
+		Waiting: load.waiting, OverdueMs: int(min(load.overdueMs, maxReportedOverdueMs)), Speed: speed,
 	})
 }
 
--- a/quarantine/cleared.go
+++ b/quarantine/cleared.go
@@ -32,7 +32,11 @@
 func (c *clearedCrashes) add(depth Depth, began time.Time, crashes []observedCrash) {
 	for _, crash := range crashes {
 		soon := depth != contentDepth && began.Sub(crash.at) <= clearWindow
-		c.recent[crash.id] = clearedCrash{at: crash.at, soon: soon || c.soon(crash.id)}
+		cleared := clearedCrash{at: crash.at, soon: soon || c.soon(crash.id)}
+		if known, ok := c.recent[crash.id]; ok && known.at.Before(cleared.at) {
+			cleared.at = known.at
+		}
+		c.recent[crash.id] = cleared
 	}
 	if len(c.recent) >= maxClearedCrashes {
 		c.older, c.recent = c.recent, map[CrashID]clearedCrash{}
