Use no earlier process that an older copy of the store lists

The start time tells which came first: in a later epoch an entry of an earlier process is left out, and held back for removed upstreams.

TestEarlierProcessOfAnOlderCopyIsNotUsed failed in both cases before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -197,7 +197,7 @@
 		c.removeUpstream(now, e.ID)
 		return known
 	}
-	if c.departures.hold(e, u, c.position.Epoch, c.epochBeganAt) {
+	if c.departures.hold(e, u, c.position.Epoch, c.epochBeganAt) || c.isEarlierProcess(u) {
 		return false
 	}
 	if c.wasDraining(u) {
@@ -211,6 +211,13 @@
 	return true
 }
 
+// isEarlierProcess reports whether an entry describes a process that ran before the one that is known
+// from an earlier epoch. It stands only in the older copy from which the store has come back.
+func (c *Catalog) isEarlierProcess(u *route.Upstream) bool {
+	known := c.upstreams[u.ID]
+	return known != nil && known.Position.Epoch < c.position.Epoch && u.StartedAt.Before(known.StartedAt)
+}
+
 // wasDraining reports whether the process of an upstream was draining before. It
 // does not return from that.
 func (c *Catalog) wasDraining(u *route.Upstream) bool {
--- a/catalog/departures.go
+++ b/catalog/departures.go
@@ -23,9 +23,10 @@
 type departure struct {
 	// process and sequence are those of its last entry, and draining is set if it
 	// was in that state.
-	process  route.ProcessKey
-	sequence int64
-	draining bool
+	process   route.ProcessKey
+	startedAt time.Time
+	sequence  int64
+	draining  bool
 	// epoch and revision are the place in the store's changes at which it was
 	// removed. The revision is zero in later epochs.
 	epoch    route.Epoch
@@ -56,7 +57,8 @@
 	x := d.byID[id]
 	x.epoch, x.revision, x.at = epoch, revision, now
 	if last != nil {
-		x.process, x.sequence, x.draining = last.ProcessKey(), last.Sequence, last.State == route.Draining
+		x.process, x.startedAt = last.ProcessKey(), last.StartedAt
+		x.sequence, x.draining = last.Sequence, last.State == route.Draining
 	}
 	if _, known := d.byID[id]; !known && len(d.byID) >= maxDepartures {
 		forgotten = d.removeOldest()
@@ -99,11 +101,15 @@
 }
 
 // hold reports whether an entry is not to be used yet, because it describes a
-// process that was removed in an earlier epoch, and may only stand in the older
-// copy. An entry that the process wrote later is used at once.
+// process that was removed in an earlier epoch, or one that ran before that, and may
+// only stand in the older copy. An entry that the process wrote later is used at once.
 func (d *departures) hold(e Entry, u *route.Upstream, epoch route.Epoch, epochBegan time.Time) bool {
 	x, ok := d.byID[u.ID]
-	if !ok || x.epoch >= epoch || x.process != u.ProcessKey() || u.Sequence > x.sequence {
+	if !ok || x.epoch >= epoch {
+		return false
+	}
+	sameProcess := x.process == u.ProcessKey() && u.Sequence <= x.sequence
+	if !sameProcess && !u.StartedAt.Before(x.startedAt) {
 		return false
 	}
 	d.held[u.ID] = heldEntry{entry: e, until: epochBegan.Add(holdTime)}
@@ -123,7 +129,7 @@
 		}
 		out = append(out, h.entry)
 		x := d.byID[id]
-		x.sequence = -1
+		x.sequence, x.startedAt = -1, time.Time{}
 		d.byID[id] = x
 		delete(d.held, id)
 	}
--- a/catalog/epoch_test.go
+++ b/catalog/epoch_test.go
@@ -186,3 +186,23 @@
 		t.Errorf("version %d at %v, want 9 at %v", asleep.table.Version, asleep.Position(), pos(3, 5))
 	}
 }
+
+// TestEarlierProcessOfAnOlderCopyIsNotUsed guards against requests to an upstream that is draining,
+// because an older copy of the store lists the process that ran there before as ready.
+func TestEarlierProcessOfAnOlderCopyIsNotUsed(t *testing.T) {
+	for name, removed := range map[string]bool{"still listed": false, "removed": true} {
+		c := New(testDecoder{})
+		read(c, start, pos(1, 10), sequencedItem("a", 9, "draining", 2, 1))
+		if removed {
+			apply(c, start, removedItem("a", 11))
+		}
+		read(c, at(time.Second), pos(2, 5), sequencedItem("a", 4, "ready", 1, 7))
+		if u := c.Upstreams().ByID["a"]; u != nil && u.State == route.Ready {
+			t.Errorf("%s: an earlier process is in use", name)
+		}
+		apply(c, at(2*time.Second), sequencedItem("a", 12, "ready", 3, 1))
+		if u := c.Upstreams().ByID["a"]; u == nil || u.State != route.Ready {
+			t.Errorf("%s: the next process is not in use: %+v", name, u)
+		}
+	}
+}
