Say in comments what limits, guards and differences rest on

No change of behavior: the tests of connlimit, finding, catalog, cmd/mulberrydyke, host, web and edge pass as before.

--- a/catalog/evacuations.go
+++ b/catalog/evacuations.go
@@ -156,6 +156,7 @@
 	if !entry.Deleted {
 		return e.put(entry.Domain, position)
 	}
+	// The removal of an entry that has ended already does not begin the cold time anew.
 	if x := e.byDomain[entry.Domain]; x.ended && position.After(x.position) {
 		x.position = position
 		e.byDomain[entry.Domain] = x
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -84,8 +84,8 @@
 }
 
 // Merge applies another host's snapshot. A table counts by its version, and evacuations
-// by their positions. The rest of a snapshot is ignored if it is not newer than the local state, or if it
-// starts after the local position, which would leave a gap.
+// by their positions. The rest of a snapshot is ignored if it is not newer than the
+// local state, or if it starts after the local position, which would leave a gap.
 func (c *Catalog) Merge(now time.Time, s Snapshot) Changes {
 	var changed Changes
 	if s.Table != nil && c.ApplyTable(now, *s.Table) {
--- a/cmd/mulberrydyke/check.go
+++ b/cmd/mulberrydyke/check.go
@@ -41,21 +41,12 @@
 			if table.file != "" {
 				return table.run(c.OutOrStdout())
 			}
-			state := plan.NewState()
-			for kind, file := range map[plan.ListKind]string{
+			state, err := decodeLists(map[plan.ListKind]string{
 				plan.KindPlans: plans, plan.KindEntitlements: entitlements,
 				plan.KindUpstreams: upstreams, plan.KindHosts: hosts,
-			} {
-				if file == "" {
-					continue
-				}
-				raw, err := os.ReadFile(file)
-				if err != nil {
-					return &plan.ValueError{Field: string(kind), Value: file, Want: err.Error()}
-				}
-				if state, err = state.WithList(kind, raw); err != nil {
-					return fmt.Errorf("%s: %w", file, err)
-				}
+			})
+			if err != nil {
+				return err
 			}
 			return checkListsAgree(c, state, plans != "" && entitlements != "")
 		},
@@ -73,6 +64,24 @@
 	return c
 }
 
+// decodeLists decodes the lists in files. Those without a file are left out.
+func decodeLists(files map[plan.ListKind]string) (*plan.State, error) {
+	state := plan.NewState()
+	for kind, file := range files {
+		if file == "" {
+			continue
+		}
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, &plan.ValueError{Field: string(kind), Value: file, Want: err.Error()}
+		}
+		if state, err = state.WithList(kind, raw); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	return state, nil
+}
+
 // checkListsAgree checks, if both are given, that the operators' lists of plans
 // and entitlements are consistent, and prints the versions of all lists.
 func checkListsAgree(c *cobra.Command, state *plan.State, haveBoth bool) error {
--- a/connlimit/body.go
+++ b/connlimit/body.go
@@ -7,8 +7,8 @@
 	"net/http"
 )
 
-// ErrLimitReached reports a body that was not read to its end because the memory of all callers
-// together is limited, and others have made progress since.
+// ErrLimitReached reports a body that was not read to its end because a limit on all callers
+// together was reached and this one had made no progress for longest.
 var ErrLimitReached = errors.New("the memory for requests is used up")
 
 const (
@@ -19,8 +19,8 @@
 )
 
 // ReadBody reads a body of at most limit bytes. Its memory grows as the bytes arrive; the declared
-// length, or -1, is only an upper bound of it. A longer body is an *http.MaxBytesError, and
-// ErrLimitReached is returned if the connection of the request in ctx was ended.
+// length, which is -1 if unknown, is only an upper bound of it. The error is an *http.MaxBytesError for
+// a longer body, and ErrLimitReached if the connection of the request in ctx was ended.
 func ReadBody(ctx context.Context, r io.Reader, declared, limit int64) ([]byte, error) {
 	if declared > limit {
 		return nil, &http.MaxBytesError{Limit: limit}
@@ -31,22 +31,23 @@
 		return body, nil
 	}
 	if c.ended() {
-		c.noteRefused()
+		c.countRefused()
 		return nil, ErrLimitReached
 	}
 	return nil, err
 }
 
 func readBody(c *Conn, r io.Reader, declared, limit int64) ([]byte, error) {
-	// One byte more than the longest body shows that it has ended, or is too long.
-	most := limit + 1
+	// With room for one byte more than the longest body, a read shows that it has ended or is
+	// too long.
+	maxCap := limit + 1
 	if declared >= 0 {
-		most = declared + 1
+		maxCap = declared + 1
 	}
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			grown, err := grow(c, body, most)
+			grown, err := grow(c, body, maxCap)
 			if err != nil {
 				return nil, err
 			}
@@ -65,11 +66,12 @@
 	}
 }
 
-// grow returns the body in a larger slice. Old and new slice are charged while both exist.
-func grow(c *Conn, body []byte, most int64) ([]byte, error) {
+// grow returns the body in a larger slice, with a capacity of at most maxCap. Old and new slice are
+// charged while both exist.
+func grow(c *Conn, body []byte, maxCap int64) ([]byte, error) {
 	before := int64(cap(body))
 	after := max(firstBodyBytes, before+min(before, maxStepBytes))
-	after = min(after, most)
+	after = min(after, maxCap)
 	if !c.chargeBody(before + after) {
 		return nil, ErrLimitReached
 	}
--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -10,14 +10,16 @@
 const (
 	// progressBytes is how much of a head or body has to arrive to count as progress.
 	progressBytes = 4 << 10
-	// headCostFactor multiplies the bytes of a head that is being read: net/http keeps a map
-	// entry of over a hundred bytes for a header line of seven.
+	// headCostFactor is the memory charged for each byte of a head that is being read: net/http
+	// keeps a map entry of over a hundred bytes for a header line of seven.
 	headCostFactor = 20
 	// headerLineBytes is what a line of a complete head takes besides its text.
 	headerLineBytes = 128
-	// writePartBytes is the most that is written before the write deadline is renewed.
+	// writePartBytes is the most that is written at a time. The write deadline is renewed between
+	// parts, so that a long answer to a slow caller has more time than a single timeout.
 	writePartBytes = 64 << 10
-	// deadlineRenewal is how old a write deadline may be before it is set anew.
+	// deadlineRenewal is how old a write deadline may be before it is set anew, so that it is not
+	// set for each event of a stream.
 	deadlineRenewal = time.Second
 )
 
@@ -35,12 +37,13 @@
 	headBytes int64
 	// requestBytes is what the complete head of the current request takes.
 	requestBytes int64
-	// unnoted is what has arrived since progress was last noted.
-	unnoted   int
-	inHandler bool
+	// sinceProgress is the number of bytes that have arrived since the last progress.
+	sinceProgress int
+	inHandler     bool
 	// answered is set from the end of a handler until the connection is idle.
 	answered bool
-	removed  bool
+	// removed is set once the connection is no longer in the ledger.
+	removed bool
 
 	// renewedAt is when the write deadline was last set here, and ownDeadline is set while the
 	// handler has set one. Only the goroutine that writes uses them.
@@ -68,12 +71,12 @@
 	case phaseEnded:
 		return false
 	case phaseWaiting, phaseIdle:
-		c.unnoted = 0
+		c.sinceProgress = 0
 		l.ledger.setPhase(&c.entry, phaseSending)
 	}
-	c.unnoted += n
-	if c.unnoted >= progressBytes {
-		c.unnoted = 0
+	c.sinceProgress += n
+	if c.sinceProgress >= progressBytes {
+		c.sinceProgress = 0
 		l.ledger.setPhase(&c.entry, phaseSending)
 	}
 	if c.inHandler {
@@ -120,10 +123,11 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// CloseWrite lets net/http tell the caller that no more follows before it closes the connection.
+// CloseWrite closes the writing side, if the connection can. net/http calls it before it closes a
+// connection, so that the caller reads the answer to its end.
 func (c *Conn) CloseWrite() error {
-	if t, ok := c.Conn.(interface{ CloseWrite() error }); ok {
-		return t.CloseWrite()
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
 	}
 	return nil
 }
@@ -140,7 +144,7 @@
 	return c.Conn.Close()
 }
 
-// becomeIdle notes that the connection waits for its next request.
+// becomeIdle records that the connection waits for its next request.
 func (c *Conn) becomeIdle() {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
@@ -149,7 +153,7 @@
 	c.limiter.ledger.setPhase(&c.entry, phaseIdle)
 }
 
-// beginRequest notes a complete head. It returns false if the connection was ended before, so that
+// beginRequest records a complete head. It returns false if the connection was ended before, so that
 // the request must not run.
 func (c *Conn) beginRequest(r *http.Request) bool {
 	if c == nil {
@@ -178,7 +182,7 @@
 	}
 }
 
-// beginRun notes that the request is complete. From now on the connection is not ended. It returns
+// beginRun records that the request is complete. From now on the connection is not ended for others. It returns
 // false if it was ended before.
 func (c *Conn) beginRun() bool {
 	if c == nil {
@@ -190,7 +194,7 @@
 	return c.entry.phase != phaseEnded
 }
 
-// endRequest notes that the handler has returned. The end of its answer may not have been sent, so a
+// endRequest records that the handler has returned. The end of its answer may not have been sent, so a
 // complete request stays in phaseRunning; the rest of a body that was not read may still be awaited.
 func (c *Conn) endRequest() {
 	if c == nil {
@@ -222,8 +226,8 @@
 	return c.limiter.chargeBody(c, c.requestBytes+bytes)
 }
 
-// noteRefused counts a request that was refused because a limit was reached.
-func (c *Conn) noteRefused() {
+// countRefused counts a request that was refused because a limit was reached.
+func (c *Conn) countRefused() {
 	if c != nil {
 		c.limiter.refused.Add(1)
 	}
--- a/connlimit/ledger.go
+++ b/connlimit/ledger.go
@@ -23,11 +23,12 @@
 // entry is one connection in a ledger.
 type entry struct {
 	phase phase
-	// progress orders entries by when they last made progress.
+	// progress orders entries by when they last made progress. It is unique.
 	progress uint64
 	// bytes is the memory that the connection's head and body take.
 	bytes int64
-	// held is the memory that the handler has, also after the connection was ended.
+	// held is the memory that the handler has for the request. Unlike bytes it stays until the
+	// handler returns, also after the connection was ended.
 	held int64
 	// closed is set once the connection has no descriptor any more.
 	closed  bool
@@ -40,11 +41,13 @@
 // lock or I/O.
 type ledger struct {
 	limits Limits
-	// open is the number of connections with a descriptor, ending that of connections without,
-	// whose goroutines have not returned yet.
+	// open is the number of connections with a descriptor. ending is the number of those without
+	// one whose goroutines have not returned yet.
 	open, ending int
-	bytes, held  int64
-	progress     uint64
+	// bytes and held are the sums of the entries' fields of these names.
+	bytes, held int64
+	// progress is that of the entry that made progress last.
+	progress uint64
 	// queues hold the entries of each phase, longest without progress first.
 	queues [phaseCount]list.List
 }
@@ -54,7 +57,7 @@
 
 // tooManyEnding reports whether the goroutines of closed connections leave no room for another.
 func (l *ledger) tooManyEnding() bool {
-	return l.open+l.ending >= l.limits.Conns+l.limits.Conns/endingFraction
+	return l.open+l.ending >= l.limits.Conns+l.limits.Conns/endingDivisor
 }
 
 // add adds a connection.
@@ -80,7 +83,7 @@
 	l.enqueue(e)
 }
 
-// charge changes the memory that an entry takes to the given number of bytes.
+// charge sets the memory that an entry takes. An ended one takes none.
 func (l *ledger) charge(e *entry, bytes int64) {
 	if e.phase == phaseEnded {
 		return
@@ -89,7 +92,7 @@
 	e.bytes = bytes
 }
 
-// hold sets the memory that the handler of an entry has.
+// hold sets the memory that the handler of an entry has, also if the entry has ended.
 func (l *ledger) hold(e *entry, bytes int64) {
 	l.held += bytes - e.held
 	e.held = bytes
@@ -98,7 +101,7 @@
 // mustWait reports whether an entry's handler may not have that much memory yet, because the
 // handlers of ended connections still have theirs.
 func (l *ledger) mustWait(e *entry, bytes int64) bool {
-	return l.held-e.held+bytes > l.limits.Bytes+l.limits.Bytes/heldFraction
+	return l.held-e.held+bytes > l.limits.Bytes+l.limits.Bytes/heldDivisor
 }
 
 // end marks an entry as ended. Its memory counts as free, since its handler is about to return.
@@ -116,7 +119,8 @@
 	}
 }
 
-// remove removes an entry whose goroutine is about to return.
+// remove removes an entry whose connection the server has closed, so that its goroutine is about to
+// return.
 func (l *ledger) remove(e *entry) {
 	l.charge(e, 0)
 	l.close(e)
@@ -124,7 +128,7 @@
 	l.queues[e.phase].Remove(e.element)
 }
 
-// oldest returns the first entry of two queues, by progress, or nil.
+// oldest returns the entry of two queues that has made no progress for longest, or nil.
 func oldest(a, b *list.List) *entry {
 	first, second := a.Front(), b.Front()
 	switch {
--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -17,6 +17,7 @@
 
 const (
 	// quietTime is how long nothing is ended or refused until a limit no longer counts as reached.
+	// It keeps many callers from filling the log.
 	quietTime = 5 * time.Second
 	// refusalWriteTimeout limits the write of a refusal to a connection that is ended. The
 	// refusal fits into an empty send buffer.
@@ -35,14 +36,16 @@
 
 	mu     sync.Mutex
 	ledger ledger
-	// changed is signalled when memory was given back, and when a connection was ended. It uses mu.
+	// changed is signalled when a handler has returned, and when a connection was ended or closed.
+	// It uses mu.
 	changed *sync.Cond
-	// lastActed is when something was last ended or refused, if active is set.
-	active    bool
-	lastActed time.Time
+	// active is set while a limit counts as reached, and lastAction is then when something was last
+	// ended or refused.
+	active     bool
+	lastAction time.Time
 }
 
-// NewLimiter returns a limiter. The name is for the log.
+// NewLimiter returns a limiter. The name of what it limits appears in the log and in the metrics.
 func NewLimiter(limits Limits, name string, log *slog.Logger) *Limiter {
 	l := &Limiter{log: log, name: name, ledger: ledger{limits: limits}}
 	l.changed = sync.NewCond(&l.mu)
@@ -180,7 +183,7 @@
 		victim := l.ledger.nextForDescriptors()
 		if victim == nil {
 			l.refused.Add(1)
-			l.noteActedLocked()
+			l.recordActionLocked()
 			return false
 		}
 		l.endLocked(victim, true)
@@ -201,8 +204,9 @@
 	return true
 }
 
-// chargeBody is chargeLocked for memory that is about to be taken. It waits until the handlers of
-// ended connections have given back enough of theirs, which they do at once.
+// chargeBody is chargeLocked for memory that a handler is about to allocate. It waits until the
+// handlers of ended connections have returned and so freed enough of theirs; their reads fail at
+// once.
 func (l *Limiter) chargeBody(c *Conn, bytes int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -238,7 +242,7 @@
 	mayRefuse := e.phase == phaseSending && !c.inHandler && !c.answered && !l.ledger.limits.Encrypted
 	l.ledger.end(e)
 	l.ended.Add(1)
-	l.noteActedLocked()
+	l.recordActionLocked()
 	l.changed.Broadcast()
 	if c.inHandler && !needDescriptor {
 		_ = c.Conn.SetReadDeadline(pastTime) // fails only on a closed connection
@@ -252,9 +256,9 @@
 	_ = c.Conn.Close() // c.Close, which the server calls, counts the end
 }
 
-// noteActedLocked logs the first of a series of connections ended and requests refused.
-func (l *Limiter) noteActedLocked() {
-	l.lastActed = time.Now()
+// recordActionLocked logs the first of a series of connections ended and requests refused.
+func (l *Limiter) recordActionLocked() {
+	l.lastAction = time.Now()
 	if l.active {
 		return
 	}
@@ -264,11 +268,11 @@
 	time.AfterFunc(quietTime, l.checkQuiet)
 }
 
-// checkQuiet logs the end of a series, or looks again later.
+// checkQuiet logs the end of a series once quietTime has passed, and else checks again later.
 func (l *Limiter) checkQuiet() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if left := quietTime - time.Since(l.lastActed); left > 0 {
+	if left := quietTime - time.Since(l.lastAction); left > 0 {
 		time.AfterFunc(left, l.checkQuiet)
 		return
 	}
--- a/crowd/entryhost_test.go
+++ b/crowd/entryhost_test.go
@@ -37,8 +37,7 @@
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/kv-watch" {
 			time.Sleep(100 * time.Millisecond)
-			listing := `{"events":[],"asOf":2}`
-			_, _ = io.WriteString(w, listing) // fails only if the host has gone
+			_, _ = io.WriteString(w, `{"events":[],"asOf":2}`) // fails only if the host has gone
 			return
 		}
 		_, _ = w.Write(listing)
@@ -109,7 +108,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p := startProcess(t, []string{"MULBERRYDYKE_BOOT=" + file}, entryHostProgram(t))
+	p := startProcess(t, []string{"MULBERRYDYKE_BOOT=" + file}, buildProgram(t, "entryhost"))
 	awaitReady(t, p, fmt.Sprintf("http://%s:%d/ready", ip, readyPort))
 	return p, ip
 }
@@ -130,12 +129,6 @@
 	t.Fatalf("the host is not ready: %s", lastLines(p.output.String()))
 }
 
-// entryHostProgram returns the path of the program.
-func entryHostProgram(t *testing.T) string {
-	t.Helper()
-	return buildProgram(t, "entryhost")
-}
-
 // entryHostOrdinary returns an ordinary request to a host.
 func entryHostOrdinary(ip string) ordinary {
 	return ordinary{
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -18,7 +18,7 @@
 	maxSideConns = 64
 	maxSideBytes = 2 << 20
 	// maxPeerConns and maxPeerBytes do the same for the listener for peers. In the largest fleets a
-	// host serves some dozens of calls at once.
+	// host serves some dozens of calls at once, so that hosts don't reach these limits.
 	maxPeerConns = 256
 	maxPeerBytes = 4 << 20
 )
--- a/edge/pause.go
+++ b/edge/pause.go
@@ -15,23 +15,27 @@
 	// minPauseLimit is the shortest time without a sign of life that counts as a pause.
 	// Processes on small machines may wait long for the processor.
 	minPauseLimit = time.Second
-	// pauseTicks is the number of signs of life within the limit.
+	// pauseTicks is the number of signs of life within the limit. Several of them may be late
+	// before a process that was only slow counts as paused.
 	pauseTicks = 8
 )
 
-// pauseGuard notices that the process was paused for so long that upstreams may have to get no
-// requests of which it did not hear.
+// pauseGuard detects that the process was paused for so long that it may have missed the evacuation
+// of upstreams which must get no further requests.
 type pauseGuard struct {
 	// limit is the longest time between two signs of life that is no pause. Zero means that
 	// pauses do not matter.
-	limit     time.Duration
-	mu        sync.Mutex
-	seenAt    time.Time
+	limit time.Duration
+
+	mu sync.Mutex
+	// seenAt is the time of the last sign of life.
+	seenAt time.Time
+	// heldUntil is when requests may be sent again after the last pause.
 	heldUntil time.Time
 }
 
-// newPauseGuard returns a guard for a platform on which evacuations must take effect within a
-// time. With half of it a host that was paused is still in time without the guard.
+// newPauseGuard returns a guard for a platform on which evacuations must take effect within
+// maxEvacuationDelay. After a pause of up to half of that a host is still in time without the guard.
 func newPauseGuard(now time.Time, maxEvacuationDelay time.Duration) *pauseGuard {
 	g := &pauseGuard{seenAt: now}
 	if maxEvacuationDelay > 0 {
--- a/entry/body.go
+++ b/entry/body.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// limitRetryAfter is the time to come back for a request whose body found no memory, or did
-	// not come in time.
+	// limitRetryAfter is the time after which a request may be sent again whose body found no memory
+	// or did not arrive in time.
 	limitRetryAfter = time.Second
 	// unreadBodyTimeout limits the time for which the rest of a refused body is awaited.
 	unreadBodyTimeout = time.Second
--- a/finding/difference.go
+++ b/finding/difference.go
@@ -72,24 +72,23 @@
 func Compare(inForce, c *Configuration) []Difference {
 	before, after := describe(inForce), describe(c)
 	differences := []Difference{}
-	for entry, fields := range before {
-		others, ok := after[entry]
-		if !ok {
-			difference := Difference{Change: Removed, Entry: entry.Entry}
-			if entry.Part == PartKey {
-				difference.Field, difference.Before = fields[0].name, fields[0].value
-			}
-			differences = append(differences, difference)
+	for id, fields := range before {
+		if others, ok := after[id]; ok {
+			differences = append(differences, compareFields(id.Entry, fields, others)...)
 			continue
 		}
-		differences = append(differences, compareFields(entry.Entry, fields, others)...)
+		difference := Difference{Change: Removed, Entry: id.Entry}
+		if id.Part == PartKey {
+			difference.Field, difference.Before = fields[0].name, fields[0].value
+		}
+		differences = append(differences, difference)
 	}
-	for entry, fields := range after {
-		if _, ok := before[entry]; ok {
+	for id, fields := range after {
+		if _, ok := before[id]; ok {
 			continue
 		}
-		difference := Difference{Change: Added, Entry: entry.Entry}
-		if entry.Part == PartKey {
+		difference := Difference{Change: Added, Entry: id.Entry}
+		if id.Part == PartKey {
 			difference.Field, difference.After = fields[0].name, fields[0].value
 		}
 		differences = append(differences, difference)
@@ -131,7 +130,9 @@
 // characters, and entries with the same name.
 type identity struct {
 	Entry
-	key        Key
+	// key is set for keys only.
+	key Key
+	// occurrence counts the earlier entries with the same name.
 	occurrence int
 }
 
--- a/finding/line.go
+++ b/finding/line.go
@@ -7,8 +7,8 @@
 	"fmt"
 )
 
-// LineOf returns the line at which the decoding of a JSON text failed, as the beginning of a
-// reason.
+// LineOf returns the line at which the decoding of a JSON text failed, as a prefix for the message of
+// the error: "line 3: ". It is line 1 if the error names no place.
 func LineOf(raw []byte, err error) string {
 	var syntax *json.SyntaxError
 	var wrongType *json.UnmarshalTypeError
--- a/host/limits.go
+++ b/host/limits.go
@@ -11,13 +11,13 @@
 	// maxOperatorBytes the memory for their request heads.
 	maxOperatorConnections = 64
 	maxOperatorBytes       = 8 << 20
-	// operatorTimeout limits the time in which a body has to come there, and in which nothing of
-	// an answer is taken.
+	// operatorTimeout limits the time within which a body has to arrive there, and the time in which
+	// nothing of an answer is taken.
 	operatorTimeout = 10 * time.Second
 )
 
-// callerLimiter returns the limiter for the listener for callers. Its handlers set the deadlines for
-// answers themselves.
+// callerLimiter returns the limiter for the listener for callers. The write timeout of LimitsFor applies
+// only while the handlers have set no deadline for their answers.
 func (h *Host) callerLimiter() *connlimit.Limiter {
 	bounds := h.settings.Bounds
 	limits := connlimit.LimitsFor(machineMemory(bounds), 0)
--- a/host/memory.go
+++ b/host/memory.go
@@ -18,8 +18,8 @@
 	bytes int64
 }
 
-// addProcessMemory adds the memory of a host to the soft limit. The returned function takes it away
-// again. A limit in the environment stays in force.
+// addProcessMemory adds the memory of a host to the one from which the soft limit follows. The returned
+// function takes it away again. A limit in the environment stays in force.
 func addProcessMemory(b setting.Bounds) func() {
 	if os.Getenv("GOMEMLIMIT") != "" {
 		return func() {}
