gateway: name what follows when a request gets no upstream

The comment on attemptPostponed left out permits that expire before the request was sent. No change of behavior: the tests of gateway pass as before.

--- a/gateway/body.go
+++ b/gateway/body.go
@@ -14,7 +14,7 @@
 	// defaultMaxBodyBytes limits request bodies if the table sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// limitRetryAfter is the Retry-After of a request whose body found no memory. A random delay
-	// of up to as much is added.
+	// of up to as much is added, so that callers don't come back together.
 	limitRetryAfter = time.Second
 	// lateRetryAfter is the Retry-After of a request whose body did not arrive in time.
 	lateRetryAfter = time.Second
@@ -41,7 +41,8 @@
 	if r.ContentLength == 0 {
 		return true
 	}
-	// Fails only for connections without deadlines, such as those of tests.
+	// net/http clears the deadline once the body is complete. Setting it fails only for connections
+	// without deadlines, such as those of tests.
 	_ = http.NewResponseController(x.w).SetReadDeadline(x.request.ReceivedAt.Add(x.timeout))
 	body, err := connlimit.ReadBody(r.Context(), r.Body, r.ContentLength, maxBytes)
 	x.request.Body = body
@@ -71,8 +72,8 @@
 	}
 }
 
-// abandonBody limits how much of a body is awaited that is not needed. net/http reads the rest of
-// one before or after the answer.
+// abandonBody limits how much of the body of a refused request is read, and for how long: net/http
+// reads the rest of a body before or after the answer, so that the connection can be used again.
 func abandonBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
 		return
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -104,7 +104,7 @@
 	// response, so that it may be retried only if its route is retryable.
 	attemptMayHaveRun
 	// attemptPostponed means that nothing was sent, and that the request has waited until an
-	// upstream may take it.
+	// upstream may take it, or that its permit expired before it was sent.
 	attemptPostponed
 )
 
@@ -149,15 +149,8 @@
 		return x.refuse(0, "a request like this crashed upstreams")
 	}
 	lease, err := x.acquire(ctx)
-	var throttled *throttledError
-	if errors.As(err, &throttled) && x.awaitPermit(ctx, throttled.Until) {
-		return attemptPostponed
-	}
 	if err != nil {
-		x.cause = err.Error()
-		x.setRetryAfter(err)
-		x.giveUp(ctx)
-		return attemptFinal
+		return x.handleNoLease(ctx, err)
 	}
 	x.lease = lease
 	x.tried = append(x.tried, lease.Upstream.ID)
@@ -181,8 +174,20 @@
 	return x.send(ctx, lease, conn)
 }
 
-// countRefusedDial counts a connection that could not be opened, unless that took until a
-// time limit.
+// handleNoLease waits if an upstream may take the request in time, and else answers it. The
+// error is that of acquire.
+func (x *exchange) handleNoLease(ctx context.Context, err error) attemptResult {
+	var throttled *throttledError
+	if errors.As(err, &throttled) && x.awaitPermit(ctx, throttled.Until) {
+		return attemptPostponed
+	}
+	x.cause = err.Error()
+	x.setRetryAfter(err)
+	x.giveUp(ctx)
+	return attemptFinal
+}
+
+// countRefusedDial counts a connection that could not be opened, unless the attempt timed out.
 func (x *exchange) countRefusedDial(err error) {
 	var netErr net.Error
 	if errors.As(err, &netErr) && netErr.Timeout() {
