Mend what the read-through found in the limits of callers and of cold upstreams

What follows the answer to a refused body was charged as a head, at twenty times its bytes: some two dozen such callers could end the bodies of others on a small host. A table and a list that change at once could leave an upstream that has just become cold without its limit, since the older list was applied last. Two findings said that hosts use their own timeouts instead of the table's, which they always do.

TestRestOfRefusedBodyIsNoHead fails without the change.

--- a/connlimit/conn.go
+++ b/connlimit/conn.go
@@ -79,7 +79,8 @@
 		c.sinceProgress = 0
 		l.ledger.setPhase(&c.entry, phaseSending)
 	}
-	if c.inHandler {
+	if c.inHandler || c.answered {
+		// What follows an answer is the rest of a refused body, which net/http discards.
 		return true
 	}
 	c.headBytes += int64(n)
--- a/connlimit/limiter_test.go
+++ b/connlimit/limiter_test.go
@@ -185,3 +185,20 @@
 		t.Errorf("%d connections are counted", n)
 	}
 }
+
+// TestRestOfRefusedBodyIsNoHead guards against callers whose refused bodies are charged as heads, at
+// many times their size, and so end the bodies of others.
+func TestRestOfRefusedBodyIsNoHead(t *testing.T) {
+	l, address := newServer(t, Limits{Conns: 4, Bytes: 1 << 20})
+	conn := open(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n")
+	if _, err := conn.Write(make([]byte, 50_000)); err != nil {
+		t.Fatal(err)
+	}
+	// The server awaits the rest of the body before it sends its answer.
+	for range 100 {
+		if n := l.Bytes(); n > 100_000 {
+			t.Fatalf("%d bytes are charged for the rest of a refused body", n)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -252,7 +252,7 @@
 func (h *Host) TableUpdated(t *route.Table, age time.Duration) {
 	before, _ := h.Versions()
 	h.table.Store(t)
-	h.refreshCold(h.upstreams.inForce.Load())
+	h.upstreams.withInForce(h.refreshCold)
 	if before > 0 {
 		h.metrics.GetOrCreateHistogram(tableDelayMetric).Update(age.Seconds())
 	}
@@ -292,7 +292,7 @@
 	setRuntimeLimits(s)
 	h.bounds.Store(&s.Bounds)
 	h.retryBudget.SetBounds(s.Bounds)
-	h.refreshCold(h.upstreams.inForce.Load())
+	h.upstreams.withInForce(h.refreshCold)
 	h.reader.SetAddress(s.Platform)
 	h.gossipNode.AddSeeds(s.Seeds)
 	if s.Callers != h.settings.Callers || s.Readiness != h.settings.Readiness || s.Peers != h.settings.Peers || s.ID != h.settings.ID {
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -34,6 +34,13 @@
 	apply(l.inForce.Swap(after), after)
 }
 
+// withInForce calls apply with the upstreams in force, before another change can follow.
+func (l *upstreamList) withInForce(apply func(*route.Upstreams)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	apply(l.inForce.Load())
+}
+
 // UpstreamsUpdated implements platform.Receiver.
 func (h *Host) UpstreamsUpdated(u *route.Upstreams) {
 	h.drains.SetListed(time.Now(), u)
--- a/finding/check.go
+++ b/finding/check.go
@@ -41,8 +41,8 @@
 	entry := Entry{Part: PartLimits}
 	l.addIf(limits.MaxHeaderBytes <= 0, Warning, entry, "The limit of request headers is not above zero, so hosts use their own.")
 	l.addIf(limits.MaxBodyBytes <= 0, Warning, entry, "The limit of request bodies is not above zero, so hosts use their own.")
-	l.addIf(limits.HeaderTimeout <= 0, Warning, entry, "The timeout of request headers is not above zero, so hosts use their own.")
-	l.addIf(limits.IdleTimeout <= 0, Warning, entry, "The timeout of idle connections is not above zero, so hosts use their own.")
+	l.addIf(limits.HeaderTimeout <= 0, Warning, entry, "The timeout of request headers is not above zero.")
+	l.addIf(limits.IdleTimeout <= 0, Warning, entry, "The timeout of idle connections is not above zero.")
 	l.addIf(limits.MaxBodyBytes > 0 && limits.MaxBodyBytes < int64(limits.MaxHeaderBytes), Warning, entry,
 		"The limit of request bodies, %d bytes, is under that of headers, %d bytes.", limits.MaxBodyBytes, limits.MaxHeaderBytes)
 	l.addIf(limits.IdleTimeout > 0 && limits.HeaderTimeout > limits.IdleTimeout, Warning, entry,
