Treat upstreams that close connections under requests as possibly cold

Hosts whose requests it broke off did not take it for cold, as only failed dials counted; it accepted connections again at once. Now a request that ends because the upstream closed its connection counts too.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -21,9 +21,9 @@
 	}
 }
 
-// recordUnreachable treats an upstream that could not be reached as cold for some time after its
-// ejection: its process may restart before the list says so.
-func (h *Host) recordUnreachable(u *route.Upstream, ejectedUntil time.Time) {
+// recordLost treats an upstream that may have restarted as cold for some time, from the end of its
+// ejection: the list may not say so yet.
+func (h *Host) recordLost(u *route.Upstream, ejectedUntil time.Time) {
 	table, now := h.table.Load(), time.Now()
 	if table == nil || table.Services[u.Service] == nil {
 		return
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -131,7 +131,7 @@
 	h.drains = drain.NewTable(h.refreshUpstreams)
 	h.gateway = gateway.NewServer(gateway.Options{
 		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine,
-		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains, Unreachable: h.recordUnreachable,
+		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains, Lost: h.recordLost,
 		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	reader, cleanup := platform.NewReader(s.Platform, watchPeriod(s.Bounds), h, h.log)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"errors"
+
 	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
+	"mulberrydyke/link"
 	"mulberrydyke/route"
 )
 
@@ -38,10 +41,13 @@
 	return u
 }
 
-// recordUnreachable records an upstream to which no connection could be opened.
-func (x *exchange) recordUnreachable(lease *dispatch.Lease, result dispatch.Result) {
-	if result != dispatch.Unreachable || x.server.Unreachable == nil {
+// recordLost records an upstream that may have restarted: no connection could be opened, or it closed
+// one under the request.
+func (x *exchange) recordLost(lease *dispatch.Lease, result dispatch.Result, err error) {
+	var exchangeErr *link.ExchangeError
+	closed := result == dispatch.Broken && errors.As(err, &exchangeErr) && exchangeErr.ClosedByUpstream()
+	if result != dispatch.Unreachable && !closed || x.server.Lost == nil {
 		return
 	}
-	x.server.Unreachable(lease.Upstream, x.server.Balancer.EjectedUntil(lease.Upstream.ID))
+	x.server.Lost(lease.Upstream, x.server.Balancer.EjectedUntil(lease.Upstream.ID))
 }
