--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -1,11 +1,8 @@
 package gateway
 
 import (
-	"errors"
-
 	"mulberrydyke/call"
 	"mulberrydyke/dispatch"
-	"mulberrydyke/link"
 	"mulberrydyke/route"
 )
 
@@ -41,12 +38,11 @@
 	return u
 }
 
-// recordLost records an upstream that may have restarted: no connection could be opened, or it closed
-// one under the request.
-func (x *exchange) recordLost(lease *dispatch.Lease, result dispatch.Result, err error) {
-	var exchangeErr *link.ExchangeError
-	closed := result == dispatch.Broken && errors.As(err, &exchangeErr) && exchangeErr.ClosedByUpstream()
-	if result != dispatch.Unreachable && !closed || x.server.Lost == nil {
+// recordLost records an upstream that may have restarted, since no connection could be opened. A
+// connection that is closed under a request is no such sign: upstreams that break off single answers go
+// on running.
+func (x *exchange) recordLost(lease *dispatch.Lease, result dispatch.Result) {
+	if result != dispatch.Unreachable || x.server.Lost == nil {
 		return
 	}
 	x.server.Lost(lease.Upstream, x.server.Balancer.EjectedUntil(lease.Upstream.ID))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -40,9 +40,8 @@
 	// for those whose rate is limited.
 	RateLimits *ratelimit.Limiter
 	Permits    Permits
-	// Lost is called with upstreams that may have restarted, since no connection could be opened
-	// or they closed one under a request, and with the time until which they are ejected. It may
-	// be nil.
+	// Lost is called with upstreams that may have restarted, since no connection could be opened,
+	// and with the time until which they are ejected. It may be nil.
 	Lost func(u *route.Upstream, ejectedUntil time.Time)
 	// Drains holds the upstreams that have said that they are draining.
 	Drains *drain.Table
--- a/gateway/outcome.go
+++ b/gateway/outcome.go
@@ -21,7 +21,7 @@
 		result = dispatch.Abandoned
 	}
 	x.server.Balancer.Release(x.server.Now(), lease, result)
-	x.recordLost(lease, result, err)
+	x.recordLost(lease, result)
 	x.server.Metrics.RecordAttempt(result)
 	x.updateQuarantine(lease, result, err)
 	if result == dispatch.Done || result == dispatch.Abandoned {
--- a/ratelimit/cold.go
+++ b/ratelimit/cold.go
@@ -130,8 +130,7 @@
 	return began
 }
 
-// RecordLost records that this host could not connect to an upstream, or that the upstream closed a
-// connection under a request. It may have restarted and
+// RecordLost records that this host could not connect to an upstream. It may have restarted and
 // be cold, whatever the list of upstreams says. Later calls extend the time. It reports whether the upstream was not known as cold.
 func (l *Limiter) RecordLost(now time.Time, c Cold) bool {
 	s := &l.cold
