--- a/review/lab-2/config_test.go
+++ b/review/lab-2/config_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package lab
 
 // Names of the configuration of all cases.
--- a/review/lab-2/main_test.go
+++ b/review/lab-2/main_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package lab plays the cases of the review that are no days of the bench. Each starts hosts as
 // separate processes and plays their clients, runners and store. It holds no tests: it is built as a
 // program of its own by build-2.sh, and consists of test files since they use the platform's names.
--- a/review/lab-2/store_test.go
+++ b/review/lab-2/store_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package lab
 
 import (
