Keep a missing upstream only if the store was out for all hosts

Cause: a missing entry has expired in an outage of the store, or was removed.

Evidence: with logs, hosts of the domain drop the upstream 2.2 s after each of them has reached the store, whenever the removal came.

Why it works: hosts tell each other in which time the store has served them without a failure. A grace period ends two seconds after the beginning of any such time that goes on beyond the failure: at once if the store served another host all along, and for all hosts from the first read of any after an outage. A host that takes over reading in an outage now keeps what has expired, which it did not.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -15,10 +15,10 @@
 	"mulberrydyke/route"
 )
 
-// MissingGracePeriod is how long an upstream whose entry is missing after a
-// failure of the store stays in use. Upstreams whose entries expired during the
-// failure write them again within two seconds.
-const MissingGracePeriod = 2200 * time.Millisecond
+// MissingGracePeriod is how long after an outage of the store an upstream whose entry is
+// missing stays in use. Upstreams whose entries expired during the outage write them again
+// within two seconds.
+const MissingGracePeriod = 2 * time.Second
 
 // Entry is an upstream's entry in the store, or its removal.
 type Entry struct {
@@ -69,11 +69,17 @@
 	departures departures
 	// evacuations holds the failure domains that are or were evacuated.
 	evacuations evacuations
-	// graceDeadlines holds when each missing upstream is removed.
-	graceDeadlines map[plan.UpstreamID]time.Time
+	// missing holds the upstreams that are in use though their entries are missing.
+	missing map[plan.UpstreamID]grace
 	// failedAt is when the store last failed; recoveredAt is when it then served
 	// again. While failedAt is after recoveredAt, the store is unreachable.
-	failedAt, recoveredAt time.Time
+	// failedSince is when the first of the failures came since it last served.
+	failedAt, recoveredAt, failedSince time.Time
+	// served is the time in which the store has served this host without a failure, and
+	// servedElsewhere the same for other hosts. They are empty if there is none.
+	served, servedElsewhere ServedSpan
+	// missingChanges holds the begins and ends of grace periods until they are logged.
+	missingChanges []MissingChange
 	// position is the place in the store's changes up to which the catalog is
 	// complete, and epochBeganAt when the first host of the fleet read from its
 	// epoch, as far as this host knows.
@@ -92,7 +98,7 @@
 func New(d Decoder) *Catalog {
 	return &Catalog{
 		decoder: d, entries: map[plan.UpstreamID]Entry{}, revisions: map[plan.UpstreamID]uint64{}, upstreams: map[plan.UpstreamID]*route.Upstream{},
-		graceDeadlines: map[plan.UpstreamID]time.Time{}, departures: newDepartures(), evacuations: newEvacuations(),
+		missing: map[plan.UpstreamID]grace{}, departures: newDepartures(), evacuations: newEvacuations(),
 	}
 }
 
@@ -115,7 +121,24 @@
 type Changes struct{ Table, Upstreams bool }
 
 // RecordFailure records that a call to the store failed.
-func (c *Catalog) RecordFailure(now time.Time) { c.failedAt = now }
+func (c *Catalog) RecordFailure(now time.Time) {
+	if !c.Failed() {
+		c.failedSince = now
+	}
+	c.failedAt, c.served = now, ServedSpan{}
+}
+
+// BeginReading records that this host reads the store from now on. If the store fails for those
+// that read it so far, it counts as failed.
+func (c *Catalog) BeginReading(now time.Time, d ReadDuty) {
+	if d.FailingSince.IsZero() {
+		return
+	}
+	c.RecordFailure(now)
+	if d.FailingSince.Before(c.failedSince) {
+		c.failedSince = d.FailingSince
+	}
+}
 
 // RecordRecovery records that the store serves this host again after a failure, or the
 // hosts that read for it.
@@ -128,16 +151,16 @@
 // Failed reports whether the store has failed and not served again since.
 func (c *Catalog) Failed() bool { return c.failedAt.After(c.recoveredAt) }
 
-// graceDeadline returns when an upstream that is found missing now is removed.
-// Unless the store has failed recently, the result is not after now.
-func (c *Catalog) graceDeadline(now time.Time) time.Time {
-	if c.failedAt.IsZero() {
-		return now
-	}
-	if c.Failed() {
-		return now.Add(MissingGracePeriod)
+// graceFor returns the grace period of an upstream that is found missing now. Unless the store
+// has failed recently, for all hosts that are known to call it, its deadline is not after now.
+func (c *Catalog) graceFor(now time.Time) grace {
+	switch {
+	case c.failedAt.IsZero():
+		return grace{deadline: now}
+	case c.Failed():
+		return c.limit(now, grace{deadline: now.Add(MissingGracePeriod), failedSince: c.failedSince})
 	}
-	return c.recoveredAt.Add(MissingGracePeriod)
+	return c.limit(now, grace{deadline: c.recoveredAt.Add(MissingGracePeriod), failedSince: c.failedSince})
 }
 
 // beginEpoch turns to an epoch of the store, from which the first host read at
@@ -145,7 +168,7 @@
 // are missing in it are treated as after a failure of the store.
 func (c *Catalog) beginEpoch(began time.Time, epoch route.Epoch) {
 	if !c.position.IsZero() {
-		c.failedAt, c.recoveredAt = began, began
+		c.failedAt, c.recoveredAt, c.failedSince = began, began, began
 	}
 	c.position, c.epochBeganAt = route.Position{Epoch: epoch}, began
 	c.tableRevision, c.completeSince = 0, 0
@@ -179,8 +202,8 @@
 	if e.Deleted {
 		return c.handleMissing(now, e.ID)
 	}
-	_, wasMissing := c.graceDeadlines[e.ID]
-	delete(c.graceDeadlines, e.ID)
+	_, wasMissing := c.missing[e.ID]
+	delete(c.missing, e.ID)
 	if known == e.Revision && c.upstreams[e.ID] != nil && !wasMissing {
 		return false
 	}
@@ -254,7 +277,7 @@
 	return changed
 }
 
-// handleMissing handles an upstream without an entry. Soon after a failure of
+// handleMissing handles an upstream without an entry. Soon after an outage of
 // the store the upstream stays in use for the grace period, because its entry
 // may have expired only because the store was unreachable. It reports whether it
 // removed the upstream.
@@ -264,13 +287,13 @@
 		c.recordDeparture(now, id)
 		return false
 	}
-	deadline := c.graceDeadline(now)
-	if !deadline.After(now) {
+	g := c.graceFor(now)
+	if !g.deadline.After(now) {
 		c.removeUpstream(now, id)
 		return true
 	}
-	if deadline.After(c.graceDeadlines[id]) {
-		c.graceDeadlines[id] = deadline
+	if g.deadline.After(c.missing[id].deadline) {
+		c.keepMissing(now, id, g)
 	}
 	return false
 }
@@ -286,7 +309,7 @@
 func (c *Catalog) removeUpstream(now time.Time, id plan.UpstreamID) {
 	c.recordDeparture(now, id)
 	delete(c.upstreams, id)
-	delete(c.graceDeadlines, id)
+	delete(c.missing, id)
 	delete(c.entries, id)
 }
 
@@ -295,11 +318,12 @@
 // for long enough. It reports whether there were any.
 func (c *Catalog) Expire(now time.Time) bool {
 	changed := false
-	for id, deadline := range c.graceDeadlines {
-		if deadline.After(now) {
+	for id, g := range c.missing {
+		if g.deadline.After(now) {
 			continue
 		}
 		c.removeUpstream(now, id)
+		c.missingChanges = append(c.missingChanges, MissingChange{ID: id})
 		changed = true
 	}
 	for _, e := range c.departures.takeReleased(now) {
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -40,6 +40,9 @@
 	Revision uint64 `json:"revision"`
 	// Remaining is the rest of the grace period. It is encoded in nanoseconds.
 	Remaining time.Duration `json:"remaining"`
+	// FailedAge is the time since the store began to fail for the host that found the entry
+	// missing. It is encoded in nanoseconds.
+	FailedAge time.Duration `json:"failed-age"`
 }
 
 // SnapshotSince returns all changes after a position, for a host that has a version
@@ -72,8 +75,10 @@
 			s.Upstreams = append(s.Upstreams, Entry{ID: id, Revision: d.revision, Deleted: true})
 		}
 	}
-	for id, deadline := range c.graceDeadlines {
-		s.Missing = append(s.Missing, MissingUpstream{ID: id, Revision: c.revisions[id], Remaining: max(0, deadline.Sub(now))})
+	for id, g := range c.missing {
+		s.Missing = append(s.Missing, MissingUpstream{
+			ID: id, Revision: c.revisions[id], Remaining: max(0, g.deadline.Sub(now)), FailedAge: max(0, now.Sub(g.failedSince)),
+		})
 	}
 	return s
 }
@@ -158,11 +163,13 @@
 }
 
 // mergeMissing adopts the other host's grace period for a missing upstream,
-// unless a newer entry has been seen here.
+// unless a newer entry has been seen here. It is shorter if the store is known to have
+// served hosts all the while.
 func (c *Catalog) mergeMissing(now time.Time, u MissingUpstream) {
 	if c.upstreams[u.ID] == nil || c.revisions[u.ID] > u.Revision {
 		return
 	}
 	c.revisions[u.ID] = u.Revision
-	c.graceDeadlines[u.ID] = now.Add(min(MissingGracePeriod, max(0, u.Remaining)))
+	g := grace{deadline: now.Add(min(MissingGracePeriod, max(0, u.Remaining))), failedSince: now.Add(-max(0, u.FailedAge))}
+	c.keepMissing(now, u.ID, c.limit(now, g))
 }
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -278,6 +278,12 @@
 // SetReadDuty implements gossip.Lists.
 func (h *Host) SetReadDuty(d catalog.ReadDuty) { h.reader.SetDuty(d) }
 
+// StoreState implements gossip.Lists.
+func (h *Host) StoreState() catalog.StoreState { return h.reader.StoreState() }
+
+// RecordServedElsewhere implements gossip.Lists.
+func (h *Host) RecordServedElsewhere(s catalog.ServedSpan) { h.reader.RecordServedElsewhere(s) }
+
 // Snapshot implements gossip.Lists.
 func (h *Host) Snapshot(since route.Position, table plan.Version) ([]byte, error) {
 	return h.reader.Snapshot(since, table)
--- a/edge/waits_test.go
+++ b/edge/waits_test.go
@@ -33,6 +33,9 @@
 		"all readers of a domain killed":        {gossip.TakeoverTime + gossip.SpreadTime, applyBound},
 		"the store silent for a moment":         {notice + gossip.SpreadTime, stableWindow},
 		"an upstream missing after the silence": {notice + gossip.SpreadTime + catalog.MissingGracePeriod, stableWindow + drainBound},
+		"one removed while its reader is cut":   {platform.GatherTime(period) + gossip.SpreadTime, drainBound},
+		"one removed while its domain was cut":  {gossip.ServiceNewsTime, stableWindow},
+		"one removed after its domain was cut":  {platform.GatherTime(period) + gossip.ServiceNewsTime, drainBound},
 	} {
 		if x.sum > x.bound {
 			t.Errorf("%s: %v, want at most %v", path, x.sum, x.bound)
@@ -40,6 +43,17 @@
 	}
 }
 
+// TestFirstReadersKnowThatTheStoreServes checks that hosts which follow the store in calm count it as
+// available without a break, with the longest waits in use.
+func TestFirstReadersKnowThatTheStoreServes(t *testing.T) {
+	for _, apply := range []time.Duration{applyBound, 3 * time.Second} {
+		period := watchPeriod(setting.EdgeBounds{MaxApplyDelay: apply})
+		if calm := period + platform.GatherTime(period); calm >= catalog.MaxServiceGap {
+			t.Errorf("tables within %v: up to %v between two responses, want less than %v", apply, calm, catalog.MaxServiceGap)
+		}
+	}
+}
+
 // TestEvacuationWaitsFitIntoTheirBound checks that the waits from the acknowledgement of an
 // evacuation to the last host add up to less than the platform's bound, also if the readers of a
 // domain were killed or the store was silent, and where tables may take long.
--- a/gossip/fleet_test.go
+++ b/gossip/fleet_test.go
@@ -59,6 +59,8 @@
 func (l *simLists) Versions() (plan.Version, route.Position) { return l.table, l.position }
 func (l *simLists) Reading() bool                            { return l.mustRead }
 func (l *simLists) SetReadDuty(d catalog.ReadDuty)           { l.mustRead, l.first = d.MustRead, d.First }
+func (l *simLists) StoreState() catalog.StoreState           { return catalog.StoreState{} }
+func (l *simLists) RecordServedElsewhere(catalog.ServedSpan) {}
 
 // simSnapshot is what simulated hosts send each other of their lists.
 type simSnapshot struct {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -308,6 +308,10 @@
 func (l *fakeLists) Reading() bool                { return false }
 func (l *fakeLists) SetReadDuty(catalog.ReadDuty) {}
 
+func (l *fakeLists) StoreState() catalog.StoreState { return catalog.StoreState{} }
+
+func (l *fakeLists) RecordServedElsewhere(catalog.ServedSpan) {}
+
 func (l *fakeLists) Snapshot(route.Position, plan.Version) ([]byte, error) {
 	_, position := l.Versions()
 	return json.Marshal(position.Revision)
--- a/gossip/members.go
+++ b/gossip/members.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"mulberrydyke/catalog"
 	"mulberrydyke/plan"
 	"mulberrydyke/route"
 )
@@ -52,6 +53,12 @@
 	tableVersion                  plan.Version
 	position                      route.Position
 	reader                        readerNews
+	// served is the time in which the platform's store has served some host, as told by this
+	// one. It is empty if the last message that could tell did not.
+	served catalog.ServedSpan
+	// failingSince is when this host first said that the store fails for it. It is zero if its
+	// last message that could tell did not.
+	failingSince time.Time
 }
 
 // Members tracks the membership of the fleet. The hosts of a domain are divided
@@ -114,6 +121,9 @@
 	x.incarnation, x.sequence = msg.Incarnation, msg.Sequence
 	x.tableVersion, x.position = msg.TableVersion, msg.Position
 	x.reader = readerNews{addr: msg.Reader, at: now.Add(-msg.ReaderAge)}
+	if msg.tellsStore() {
+		x.recordStore(now, msg)
+	}
 	for _, d := range msg.Peers {
 		for _, p := range d.Hosts {
 			m.handlePeer(now, d.Domain, p)
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -123,11 +123,20 @@
 	// Drains are upstreams that have said that they are draining. Only messages of KindDrains
 	// carry them.
 	Drains []drain.Update `cbor:"21,keyasint,omitempty"`
+	// Served is the time in which the platform's store has served some host without a failure. It
+	// is nil if the sender knows of none, and in messages for which tellsStore is false.
+	Served *Served `cbor:"22,keyasint,omitempty"`
+	// StoreFailing is set while the platform's store fails for the sender, which reads it. Only
+	// messages for which tellsStore is true carry it.
+	StoreFailing bool `cbor:"23,keyasint,omitempty"`
 }
 
 // carriesReport reports whether the message describes load.
 func (m *Message) carriesReport() bool { return m.Kind < KindHello }
 
+// tellsStore reports whether messages of this kind carry Served and StoreFailing.
+func (m *Message) tellsStore() bool { return m.carriesReport() || m.Kind == KindHello }
+
 // DomainPeers lists some hosts of one domain.
 type DomainPeers struct {
 	_      struct{} `cbor:",toarray"`
@@ -175,6 +184,8 @@
 		return &DecodeError{Reason: "unknown kind or missing group"}
 	case m.Hosts < 0 || m.ReaderAge < 0:
 		return &DecodeError{Reason: "negative number of hosts or age"}
+	case !m.Served.valid():
+		return &DecodeError{Reason: "malformed time of service"}
 	case len(m.Suspects) > maxSuspects:
 		return &DecodeError{Reason: "too many suspects"}
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -53,6 +53,10 @@
 	Reading() bool
 	// SetReadDuty sets this host's part in reading the platform's store.
 	SetReadDuty(d catalog.ReadDuty)
+	// StoreState returns what this host tells others of the platform's store.
+	StoreState() catalog.StoreState
+	// RecordServedElsewhere records in which time the store has served other hosts.
+	RecordServedElsewhere(s catalog.ServedSpan)
 	// Snapshot returns everything after a position, for a host that has the given
 	// version of the table, encoded for Merge.
 	Snapshot(since route.Position, table plan.Version) ([]byte, error)
@@ -106,6 +110,9 @@
 	role  Role
 	group GroupID
 	peers []DomainPeers
+	// store is what messages say of the platform's store since the last round. Its Served is
+	// that of this host or of another one.
+	store catalog.StoreState
 	// loggedView is the view of the fleet that was logged last, at loggedAt.
 	loggedView    fleetView
 	loggedAt      time.Time
--- a/gossip/readers.go
+++ b/gossip/readers.go
@@ -98,7 +98,7 @@
 	before := m.selectMembers(func(x *member) bool {
 		return x.domain == m.domain && x.reader.addr == x.addr && now.Sub(x.reader.at) < readerTimeout && x.addr.Less(m.self)
 	})
-	return catalog.ReadDuty{MustRead: m.MustRead(now, reading), First: len(before) == 0}
+	return catalog.ReadDuty{MustRead: m.MustRead(now, reading), First: len(before) == 0, FailingSince: m.failingSince(now)}
 }
 
 // ReaderKnownUntil returns when the last news of a reader of the domain ends, unless more
--- a/gossip/receive.go
+++ b/gossip/receive.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"mulberrydyke/catalog"
 	"mulberrydyke/quarantine"
 )
 
@@ -44,10 +45,12 @@
 	fresh := n.members.HandleMessage(now, from, msg)
 	reply := fresh && n.members.NeedsReply(now, from)
 	role, group := n.role, n.group
+	elsewhere := n.members.longestServed(now, catalog.ServedSpan{})
 	n.mu.Unlock()
 	if !fresh {
 		return
 	}
+	n.Lists.RecordServedElsewhere(elsewhere)
 	n.applyReport(now, msg, role, group)
 	if n.Quarantine.Merge(now, msg.Suspects) {
 		n.Log.Info("suspects told", "by", string(msg.Host), "traits", keysOf(msg.Suspects))
--- a/gossip/removal_test.go
+++ b/gossip/removal_test.go
@@ -37,6 +37,21 @@
 	return nil
 }
 
+func (l *catalogLists) StoreState() catalog.StoreState { return l.catalog.StoreState() }
+
+func (l *catalogLists) RecordServedElsewhere(s catalog.ServedSpan) {
+	l.catalog.RecordServedElsewhere(l.now(), s)
+}
+
+func (l *catalogLists) SetReadDuty(d catalog.ReadDuty) {
+	if d.MustRead && !l.mustRead {
+		l.catalog.BeginReading(l.now(), d)
+	}
+	l.simLists.SetReadDuty(d)
+}
+
+func (l *catalogLists) Reading() bool { return l.mustRead && !l.catalog.Failed() }
+
 // idDecoder decodes entries without a value.
 type idDecoder struct{}
 
@@ -51,6 +66,13 @@
 	*simFleet
 	entries map[plan.UpstreamID]catalog.Entry
 	history []catalog.Entry
+	// failsFor, if set, reports whether the store fails for a host. A host notices its return
+	// up to noticeDelay later.
+	failsFor    func(*simHost) bool
+	noticeDelay time.Duration
+	retryAt     map[*simHost]time.Time
+	// answeredAt is when the store last answered each host.
+	answeredAt map[*simHost]time.Time
 }
 
 // put writes an entry of an upstream, or removes it.
@@ -63,7 +85,7 @@
 }
 
 func newRemovalDay(t *testing.T, size drainFleet) *removalDay {
-	d := &removalDay{simFleet: newSimFleet(t, size.domains, size.hostsPerDomain, 20, size.loss), entries: map[plan.UpstreamID]catalog.Entry{}}
+	d := &removalDay{simFleet: newSimFleet(t, size.domains, size.hostsPerDomain, 20, size.loss), entries: map[plan.UpstreamID]catalog.Entry{}, answeredAt: map[*simHost]time.Time{}, retryAt: map[*simHost]time.Time{}}
 	for i := range 60 {
 		d.put(simUpstream(i), false)
 	}
@@ -79,47 +101,76 @@
 	h.Lists = &catalogLists{simLists: h.lists, catalog: catalog.New(idDecoder{}), now: func() time.Time { return d.now }}
 }
 
-// step lets the readers follow the store.
+// simIdleWatch is how long the store holds a watch without an event.
+const simIdleWatch = 1500 * time.Millisecond
+
+// step lets the readers follow the store, and all hosts remove the upstreams whose grace period has
+// ended.
 func (d *removalDay) step() {
 	for _, h := range d.hosts {
-		if !h.down && h.lists.mustRead && d.now.Sub(start)%simWatchDelay == h.offset%simWatchDelay {
+		if h.down {
+			continue
+		}
+		h.Lists.(*catalogLists).catalog.Expire(d.now)
+		if h.lists.mustRead && d.now.Sub(start)%simWatchDelay == h.offset%simWatchDelay {
 			d.read(h)
 		}
 	}
 }
 
+// read lets a host read the store whole, if it has not or after a failure, else the changes.
 func (d *removalDay) read(h *simHost) {
 	c, asOf := h.Lists.(*catalogLists).catalog, uint64(len(d.history))
+	fails := d.failsFor != nil && d.failsFor(h)
+	if fails && !d.now.Before(d.retryAt[h]) {
+		c.RecordFailure(d.now)
+		d.retryAt[h] = d.now.Add(time.Duration(d.random.Int64N(int64(d.noticeDelay) + 1)))
+	}
+	if fails || d.now.Before(d.retryAt[h]) {
+		return
+	}
 	before := c.Position()
-	if before.IsZero() {
+	if before.IsZero() || c.Failed() {
 		all := catalog.FullRead{AsOf: route.Position{Revision: asOf}}
 		for _, e := range d.entries {
 			all.Upstreams = append(all.Upstreams, e)
 		}
+		c.RecordRecovery(d.now)
+		c.RecordServed(d.now, d.now, 0)
+		d.answeredAt[h] = d.now
 		c.ApplyFullRead(d.now, all)
 	}
 	for _, e := range d.history[before.Revision:] {
 		c.ApplyUpstream(d.now, e)
 	}
 	c.Advance(asOf)
+	if c.Position() != before || d.now.Sub(d.answeredAt[h]) >= simIdleWatch {
+		c.RecordServed(d.now, d.now, 0)
+		d.answeredAt[h] = d.now
+	}
 	if c.Position() != before {
 		h.Broadcast()
 	}
 }
 
+// lists returns how many hosts that are up list an upstream.
+func (d *removalDay) lists(id plan.UpstreamID) int {
+	n := 0
+	for _, h := range d.hosts {
+		if !h.down && h.Lists.(*catalogLists).catalog.Upstreams().ByID[id] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // untilNoneHas lets time pass until no host that is up lists an upstream, or until a
 // timeout. It returns the time that passed.
 func (d *removalDay) untilNoneHas(id plan.UpstreamID, timeout time.Duration) time.Duration {
 	began := d.now
 	for d.now.Sub(began) < timeout {
 		d.run(simStep, d.step)
-		listed := 0
-		for _, h := range d.hosts {
-			if !h.down && h.Lists.(*catalogLists).catalog.Upstreams().ByID[id] != nil {
-				listed++
-			}
-		}
-		if listed == 0 {
+		if d.lists(id) == 0 {
 			break
 		}
 	}
--- a/gossip/send.go
+++ b/gossip/send.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 	"time"
+
+	"mulberrydyke/catalog"
 )
 
 // fleetView is what this host logs of the fleet.
@@ -15,10 +17,11 @@
 // send sends the messages of one round. If urgent is set, this host's own report
 // goes to its whole group.
 func (n *Node) send(now time.Time, urgent bool) {
-	reading := n.Lists.Reading()
+	reading, store := n.Lists.Reading(), n.Lists.StoreState()
 	n.mu.Lock()
 	targets := n.members.Targets(now, urgent)
 	n.role, n.group, n.peers = n.members.Role(now), n.members.Group(), n.members.SamplePeers(now, maxLocalPeers)
+	n.store = catalog.StoreState{Served: n.members.longestServed(now, store.Served), Failing: store.Failing}
 	duty := n.members.ReadDuty(now, reading)
 	view := fleetView{live: n.members.LiveCount(now), role: n.role, mustRead: duty.MustRead}
 	n.knownCount.Store(int64(n.members.KnownCount() + n.Balancer.RemoteHostCount()))
@@ -87,6 +90,9 @@
 	if msg.carriesReport() {
 		msg.Peers = n.peers
 	}
+	if msg.tellsStore() {
+		msg.Served, msg.StoreFailing = newServed(now, n.store.Served), n.store.Failing
+	}
 	reader, knownAt := n.members.Reader(now, reading && !n.leaving)
 	if reader.IsValid() {
 		msg.Reader, msg.ReaderAge = reader, now.Sub(knownAt)
