Believe the end of a connection only if it was orderly

Cause: the kernel tells the error of a connection once. A write that waits for room is woken by the reset and takes the error; the read then sees an ordinary end, and only the end marks such a response as whole.

Why it works: at an end, the connection's state in the kernel shows whether the other end has ended it in order. If the kernel has given it up, the write in progress fails at once, and its error is the reader's. EPIPE is the error of a reset after the orderly end. The standard library's client gets the same by its dialer.

Sound upstreams that end in order and read the body later or never stay served, also by test.

--- a/link/acknowledge.go
+++ b/link/acknowledge.go
@@ -42,19 +42,25 @@
 // allAcknowledged reports whether the other end has got all that was written.
 func (s sendState) allAcknowledged() bool { return s.unacked == 0 && s.unsent == 0 && s.probes == 0 }
 
-// readSendState returns the state of a connection. It fails if the connection is closed
-// or if the kernel does not tell.
-func readSendState(c *net.TCPConn) (sendState, error) {
+// readTCPInfo returns what the kernel tells of a connection. It fails if this host has closed the
+// connection or if the kernel does not tell.
+func readTCPInfo(c *net.TCPConn) (*unix.TCPInfo, error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return sendState{}, err
+		return nil, err
 	}
 	var info *unix.TCPInfo
 	var sockErr error
 	err = raw.Control(func(fd uintptr) {
 		info, sockErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err = errors.Join(err, sockErr); err != nil {
+	return info, errors.Join(err, sockErr)
+}
+
+// readSendState returns the state of a connection. It fails as readTCPInfo does.
+func readSendState(c *net.TCPConn) (sendState, error) {
+	info, err := readTCPInfo(c)
+	if err != nil {
 		return sendState{}, err
 	}
 	return sendState{
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -128,7 +128,7 @@
 	if len(r.Body) <= maxInlineBodyBytes {
 		b.Write(r.Body)
 		close(x.bodyDone)
-		_, err := x.conn.netConn.Write(b.Bytes())
+		_, err := x.conn.stream.Write(b.Bytes())
 		return err
 	}
 	x.monitor = &bodyMonitor{
@@ -138,8 +138,8 @@
 	x.monitor.begin()
 	go func() {
 		defer close(x.bodyDone)
-		if _, x.bodyErr = x.conn.netConn.Write(b.Bytes()); x.bodyErr == nil {
-			_, x.bodyErr = x.conn.netConn.Write(r.Body)
+		if _, x.bodyErr = x.conn.stream.Write(b.Bytes()); x.bodyErr == nil {
+			_, x.bodyErr = x.conn.stream.Write(r.Body)
 		}
 	}()
 	return nil
@@ -180,7 +180,8 @@
 	return errStray
 }
 
-// Body returns the response body. Reads fail if the connection is interrupted.
+// Body returns the response body. Reads fail if the connection is interrupted, also where the
+// response ends with it and a pending write of the request body gets the error first.
 func (x *Exchange) Body() io.Reader { return x.Response.Body }
 
 // BodyError wraps an error from reading the body in an ExchangeError.
--- a/link/pool.go
+++ b/link/pool.go
@@ -50,7 +50,10 @@
 // Conn is one connection to an upstream.
 type Conn struct {
 	netConn *net.TCPConn
-	pool    *Pool
+	// stream is netConn, for all that is read and written. Its reads end only where the upstream
+	// has ended the connection in order.
+	stream *orderlyConn
+	pool   *Pool
 	// reader buffers what it reads through limited.
 	reader  *bufio.Reader
 	limited *limitedReader
@@ -112,8 +115,9 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	limited := &limitedReader{reader: raw}
-	return &Conn{netConn: raw.(*net.TCPConn), pool: p, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+	stream := &orderlyConn{Conn: raw}
+	limited := &limitedReader{reader: stream}
+	return &Conn{netConn: raw.(*net.TCPConn), stream: stream, pool: p, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
 }
 
 // Unreachable reports whether a new connection can't be opened, as after the
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"mulberrydyke/link"
 	"mulberrydyke/plan"
 	"mulberrydyke/pool"
 )
@@ -62,7 +63,7 @@
 	c := &Client{id: u.ID, address: u.Address, progressTimeout: progressTimeout}
 	for i := range c.transports {
 		c.transports[i] = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:         link.DialOrderly(&net.Dialer{Timeout: dialTimeout}),
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
