Keep no head of a request in the index of prompts

Cause: the index of the parts of prompts that engines have keeps the IDs of the parts as keys. An ID is a substring of the request's head, so that each of 4,096 entries kept a head of up to 16 KB after the request and its caller had gone.

Why it works: a key that is kept is a copy, and of a long ID only its hash.

--- a/dispatch/prefix.go
+++ b/dispatch/prefix.go
@@ -1,14 +1,21 @@
 package dispatch
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"mulberrydyke/call"
 	"mulberrydyke/plan"
+	"mulberrydyke/route"
 )
 
-// maxPrefixEntries is the number of entries from which old entries are evicted.
-const maxPrefixEntries = 4096
+const (
+	// maxPrefixEntries is the number of entries from which old entries are evicted.
+	maxPrefixEntries = 4096
+	// maxPartIDBytes is the longest ID of a part that is kept as it is.
+	maxPartIDBytes = 64
+)
 
 // prefixCache records which parts of prompts were sent to which engine, and so
 // are expected to be in its cache.
@@ -18,11 +25,25 @@
 	sentAt map[prefixKey]time.Time
 }
 
+// prefixKey names a part of a prompt and an engine.
 type prefixKey struct {
+	// part is the ID of the part, or its hash if it is longer than maxPartIDBytes. In a key that
+	// is kept it is a copy: IDs are parts of the heads of requests, which would stay in memory.
 	part     string
 	upstream plan.UpstreamID
 }
 
+// newPrefixKey returns the key of a part, which is only for use while its request is.
+func newPrefixKey(part string, u plan.UpstreamID) prefixKey {
+	if len(part) > maxPartIDBytes {
+		part = strconv.FormatUint(route.Hash(part), 16)
+	}
+	return prefixKey{part, u}
+}
+
+// kept returns the key in a form that may be kept.
+func (k prefixKey) kept() prefixKey { return prefixKey{strings.Clone(k.part), k.upstream} }
+
 func newPrefixCache(ttl time.Duration) *prefixCache {
 	return &prefixCache{ttl: ttl, sentAt: map[prefixKey]time.Time{}}
 }
@@ -33,7 +54,7 @@
 		p.evict(now)
 	}
 	for _, part := range sharedParts(prompt) {
-		p.sentAt[prefixKey{part.ID, u}] = now
+		p.sentAt[newPrefixKey(part.ID, u).kept()] = now
 	}
 }
 
@@ -52,7 +73,7 @@
 // forget removes the entries of a prompt that an engine did not accept.
 func (p *prefixCache) forget(u plan.UpstreamID, prompt *call.Prompt) {
 	for _, part := range sharedParts(prompt) {
-		delete(p.sentAt, prefixKey{part.ID, u})
+		delete(p.sentAt, newPrefixKey(part.ID, u))
 	}
 }
 
@@ -61,7 +82,7 @@
 func (p *prefixCache) uncachedTokens(now time.Time, u plan.UpstreamID, prompt *call.Prompt) int {
 	uncached := prompt.Tokens
 	for _, part := range sharedParts(prompt) {
-		at, ok := p.sentAt[prefixKey{part.ID, u}]
+		at, ok := p.sentAt[newPrefixKey(part.ID, u)]
 		if !ok || now.Sub(at) > p.ttl {
 			break
 		}
