Tell at most 64 parts of a prompt apart

Cause: each part takes 24 bytes for 4 of the head, and as much again while the slice grows. The limiter charges the bytes of the head only.

Why it works: the parts take at most 1,536 bytes a request. Those beyond the 64th count as one with the last, which belongs to the request alone, so that placement and crash suspects go by the first 63. The upstream gets the header as the caller sent it.

--- a/call/call.go
+++ b/call/call.go
@@ -3,6 +3,7 @@
 package call
 
 import (
+	"math"
 	"net/http"
 	"time"
 
@@ -22,10 +23,15 @@
 	Tokens int
 }
 
+// MaxPromptParts bounds the parts of a prompt that are told apart. Each takes many times the memory
+// that it takes in the head of a request.
+const MaxPromptParts = 64
+
 // Prompt describes the prompt of a request and the expected output.
 type Prompt struct {
 	// Parts are in the order of the prompt. The last one belongs only to the
-	// request or its session.
+	// request or its session. There are at most MaxPromptParts, the last of which then stands for
+	// all that follow as well.
 	Parts []PromptPart
 	// Tokens is the length of the whole prompt.
 	Tokens int
@@ -36,6 +42,18 @@
 	OutputTokensHint int
 }
 
+// AddPart adds a part at the end of the prompt. Where there are as many as may be, it becomes one with
+// the last.
+func (p *Prompt) AddPart(x PromptPart) {
+	if len(p.Parts) < MaxPromptParts {
+		p.Parts = append(p.Parts, x)
+		return
+	}
+	last := &p.Parts[MaxPromptParts-1]
+	last.ID = x.ID
+	last.Tokens += min(x.Tokens, math.MaxInt-last.Tokens)
+}
+
 // SharedPrefixID returns the ID of the last part that other requests may share,
 // or "".
 func (p *Prompt) SharedPrefixID() string {
