Answer OPTIONS * as any target without a route

Cause: net/http answers that request by itself, before the server's handler.

Why it works: all servers whose connections are limited, on all listeners and on the product's own interface, leave it to their handlers.

edge.TestOptionsForNoRouteIsNoSuccess failed before with 200 on the callers' and on the readiness listener.

--- a/connlimit/limiter.go
+++ b/connlimit/limiter.go
@@ -86,8 +86,10 @@
 }
 
 // Apply prepares a server for connections that Listen has accepted. They carry one request at a time:
-// with HTTP/2, ending what one request takes would end others that run.
+// with HTTP/2, ending what one request takes would end others that run. All requests reach the
+// server's handler: net/http would answer some with a success of its own.
 func (l *Limiter) Apply(s *http.Server) {
+	s.DisableGeneralOptionsHandler = true
 	s.Protocols = new(http.Protocols)
 	s.Protocols.SetHTTP1(true)
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
