Catch up after a pause before sending to upstreams that may be cold

Cause: a host that was paused for 1.0 to 1.6 s while the upstream restarted sent what had waited by its list from before, without permits. The guard against pauses held requests back for evacuations only, after 2.5 s or more. A request that had chosen an upstream was not checked against the process that is listed when it is sent.

Why it works: after a pause of over 0.5 s requests to services with a cold rate wait for 1 s, in which the host fetches the list. Then they choose anew if the list names another process, and need a permit. Looking up an upstream for other ends, as after its response, doesn't wait any more.

--- a/edge/cold.go
+++ b/edge/cold.go
@@ -21,6 +21,16 @@
 	}
 }
 
+// limitsCold reports whether requests to an upstream are limited while it is cold.
+func (h *Host) limitsCold(u *route.Upstream) bool {
+	table := h.table.Load()
+	if table == nil || u == nil {
+		return false
+	}
+	service := table.Services[u.Service]
+	return service != nil && service.ColdRate > 0
+}
+
 // recordLost treats an upstream that may have restarted as cold for some time, from the end of its
 // ejection: the list may not say so yet.
 func (h *Host) recordLost(u *route.Upstream, ejectedUntil time.Time) {
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -86,12 +86,14 @@
 	metrics      *metrics.Set
 	table        atomic.Pointer[route.Table]
 	upstreams    upstreamList
-	pause        *pauseGuard
 	stopping     atomic.Bool
 	startedAt    time.Time
 	callerServer *http.Server
 	cancel       context.CancelFunc
 	tasks        sync.WaitGroup
+
+	// evacuationPause and restartPause detect pauses of this process.
+	evacuationPause, restartPause *pauseGuard
 	cleanups     []func()
 }
 
@@ -102,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{settings: s, log: log, cancel: cancel, metrics: metrics.NewSet(), startedAt: time.Now()}
 	h.upstreams.init()
-	h.pause = newPauseGuard(h.startedAt, s.Bounds.MaxEvacuationDelay)
+	h.evacuationPause, h.restartPause = newEvacuationGuard(h.startedAt, s.Bounds.MaxEvacuationDelay), newRestartGuard(h.startedAt)
 	h.bounds.Store(&s.Bounds)
 	if err := h.build(ctx); err != nil {
 		h.close()
@@ -132,7 +134,7 @@
 	h.gateway = gateway.NewServer(gateway.Options{
 		Dialect: platform.Dialect{}, Balancer: h.balancer, ConnPools: connPools, RetryBudget: h.retryBudget, Quarantine: h.quarantine,
 		RateLimits: h.rateLimits, Permits: permits{h}, Drains: h.drains, Lost: h.recordLost,
-		Table: h.table.Load, LookupUpstream: h.lookupUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
+		Table: h.table.Load, LookupUpstream: h.lookupUpstream, AwaitUpstream: h.awaitUpstream, Log: h.log, Metrics: gateway.NewMetrics(h.metrics), Now: time.Now,
 	})
 	reader, cleanup := platform.NewReader(s.Platform, watchPeriod(s.Bounds), h, h.log)
 	h.reader = reader
--- a/edge/pause.go
+++ b/edge/pause.go
@@ -15,13 +15,18 @@
 	// minPauseLimit is the shortest time without a sign of life that counts as a pause.
 	// Processes on small machines may wait long for the processor.
 	minPauseLimit = time.Second
-	// pauseTicks is the number of signs of life within the limit. Several of them may be late
+	// restartPauseLimit is the same for pauses in which upstreams may have restarted. They may be
+	// cold then, and the fleet exceeds what they take if one host sends them its waiting requests.
+	restartPauseLimit = 500 * time.Millisecond
+	// pauseTicks is the number of signs of life within a limit. Several of them may be late
 	// before a process that was only slow counts as paused.
 	pauseTicks = 8
+	// lifeInterval is the time between two signs of life, also while requests wait.
+	lifeInterval = restartPauseLimit / pauseTicks
 )
 
-// pauseGuard detects that the process was paused for so long that it may have missed the evacuation
-// of upstreams which must get no further requests.
+// pauseGuard detects that the process was paused for so long that it may have missed a change of
+// upstreams of which it must know before it sends them requests.
 type pauseGuard struct {
 	// limit is the longest time between two signs of life that is no pause. Zero means that
 	// pauses do not matter.
@@ -34,16 +39,22 @@
 	heldUntil time.Time
 }
 
-// newPauseGuard returns a guard for a platform on which evacuations must take effect within
-// maxEvacuationDelay. After a pause of up to half of that a host is still in time without the guard.
-func newPauseGuard(now time.Time, maxEvacuationDelay time.Duration) *pauseGuard {
+// newEvacuationGuard returns a guard for a platform on which evacuations must take effect within
+// maxDelay, or for one without evacuations if that is zero. After a pause of up to half of it a host
+// is still in time without the guard.
+func newEvacuationGuard(now time.Time, maxDelay time.Duration) *pauseGuard {
 	g := &pauseGuard{seenAt: now}
-	if maxEvacuationDelay > 0 {
-		g.limit = max(minPauseLimit, maxEvacuationDelay/2)
+	if maxDelay > 0 {
+		g.limit = max(minPauseLimit, maxDelay/2)
 	}
 	return g
 }
 
+// newRestartGuard returns a guard for requests to upstreams that may be cold after a restart.
+func newRestartGuard(now time.Time) *pauseGuard {
+	return &pauseGuard{seenAt: now, limit: restartPauseLimit}
+}
+
 // observe records that the process runs. It returns how long requests have to wait because of a
 // pause, and the length of the pause if this call noticed it, or zero.
 func (g *pauseGuard) observe(now time.Time) (hold, noticed time.Duration) {
@@ -61,21 +72,24 @@
 	return max(0, g.heldUntil.Sub(now)), noticed
 }
 
-// checkPause returns how long requests have to wait because the process was paused.
-func (h *Host) checkPause() time.Duration {
-	hold, noticed := h.pause.observe(time.Now())
+// checkPause returns how long requests have to wait because the process was paused: all requests, and
+// those to upstreams that may be cold after a restart.
+func (h *Host) checkPause() (all, restartable time.Duration) {
+	now := time.Now()
+	all, noticed := h.evacuationPause.observe(now)
 	if noticed > 0 {
-		h.log.Warn("process was paused", "pause", noticed, "requests-wait", hold)
+		h.log.Warn("process was paused", "pause", noticed, "requests-wait", all)
 	}
-	return hold
+	restartable, noticed = h.restartPause.observe(now)
+	if noticed > 0 && all == 0 {
+		h.log.Info("process was paused, upstreams may have restarted", "pause", noticed, "requests-wait", restartable)
+	}
+	return all, restartable
 }
 
 // watchPauses gives signs of life until ctx ends.
 func (h *Host) watchPauses(ctx context.Context) {
-	if h.pause.limit == 0 {
-		return
-	}
-	ticker := time.NewTicker(h.pause.limit / pauseTicks)
+	ticker := time.NewTicker(lifeInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/edge/upstreams.go
+++ b/edge/upstreams.go
@@ -60,15 +60,29 @@
 	})
 }
 
-// lookupUpstream returns an upstream as it is in force now, or nil. If the process was paused, it
-// waits until the changes that it missed may be in force.
+// lookupUpstream returns an upstream as it is in force now, or nil.
 func (h *Host) lookupUpstream(id plan.UpstreamID) *route.Upstream {
-	for hold := h.checkPause(); hold > 0; hold = h.checkPause() {
-		time.Sleep(hold)
-	}
 	return h.upstreams.inForce.Load().ByID[id]
 }
 
+// awaitUpstream returns an upstream as it is in force now, or nil. If the process was paused, it
+// waits until the changes that it missed may be in force.
+func (h *Host) awaitUpstream(id plan.UpstreamID) *route.Upstream {
+	for hold := h.sendDelay(id); hold > 0; hold = h.sendDelay(id) {
+		time.Sleep(min(hold, lifeInterval))
+	}
+	return h.lookupUpstream(id)
+}
+
+// sendDelay returns how long requests to an upstream have to wait because the process was paused.
+func (h *Host) sendDelay(id plan.UpstreamID) time.Duration {
+	all, restartable := h.checkPause()
+	if restartable > all && h.limitsCold(h.lookupUpstream(id)) {
+		return restartable
+	}
+	return all
+}
+
 // maxLoggedUpstreams is the number of changed upstreams up to which each is logged.
 // At the start all are new.
 const maxLoggedUpstreams = 12
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -160,15 +160,16 @@
 		x.endAttempt(ctx, lease, dispatch.Unreachable, err)
 		return attemptNotRun
 	}
-	if err := x.checkUpstream(lease); err != nil {
+	current, err := x.checkUpstream(lease)
+	if err != nil {
 		conn.Close()
 		x.endAttempt(ctx, lease, dispatch.Refused, err)
 		return attemptNotRun
 	}
-	if !server.RateLimits.MaySend(server.Now(), lease.Upstream.ProcessKey(), x.permit) {
+	if err := x.checkPermit(lease, current); err != nil {
 		conn.Close()
 		x.tried = x.tried[:len(x.tried)-1]
-		x.endAttempt(ctx, lease, dispatch.Unsent, errPermitExpired)
+		x.endAttempt(ctx, lease, dispatch.Unsent, err)
 		return attemptPostponed
 	}
 	return x.send(ctx, lease, conn)
@@ -209,13 +210,26 @@
 }
 
 // checkUpstream checks again, after the connection was taken, that the upstream of a lease takes
-// requests.
-func (x *exchange) checkUpstream(lease *dispatch.Lease) error {
-	if u := x.server.LookupUpstream(lease.Upstream.ID); u == nil || u.State != route.Ready {
-		return errUpstreamDraining
+// requests. It returns the upstream as it is listed now.
+func (x *exchange) checkUpstream(lease *dispatch.Lease) (*route.Upstream, error) {
+	u := x.server.AwaitUpstream(lease.Upstream.ID)
+	if u == nil || u.State != route.Ready {
+		return nil, errUpstreamDraining
 	}
 	if x.server.RateLimits.ReturnsAt(lease.Upstream.ProcessKey()).After(x.server.Now()) {
-		return errUpstreamPaused
+		return nil, errUpstreamPaused
+	}
+	return u, nil
+}
+
+// checkPermit checks that the permit of this attempt holds for the process of the upstream that is
+// listed now.
+func (x *exchange) checkPermit(lease *dispatch.Lease, current *route.Upstream) error {
+	switch {
+	case !current.StartedAt.Equal(lease.Upstream.StartedAt):
+		return errUpstreamRestarted
+	case !x.server.RateLimits.MaySend(x.server.Now(), lease.Upstream.ProcessKey(), x.permit):
+		return errPermitExpired
 	}
 	return nil
 }
@@ -224,6 +238,10 @@
 // none for some time.
 var errUpstreamPaused = errors.New("upstream takes no requests for some time")
 
+// errUpstreamRestarted reports an upstream of which the list names another process than the one that
+// was chosen. That one may be cold.
+var errUpstreamRestarted = errors.New("upstream has restarted")
+
 // errPermitExpired reports that the permit to send a request to a cold upstream has expired, or that
 // the upstream became cold, before the request was sent.
 var errPermitExpired = errors.New("permit for the upstream expired")
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,9 +50,12 @@
 	// LookupUpstream returns an upstream as it is listed now, or nil. One that has said that it
 	// is draining is in that state.
 	LookupUpstream func(plan.UpstreamID) *route.Upstream
-	Log            *slog.Logger
-	Metrics        *Metrics
-	Now            func() time.Time
+	// AwaitUpstream is LookupUpstream for an upstream that is about to be sent a request. After a
+	// pause of the process it waits until the list may be up to date.
+	AwaitUpstream func(plan.UpstreamID) *route.Upstream
+	Log           *slog.Logger
+	Metrics       *Metrics
+	Now           func() time.Time
 }
 
 // Server serves the requests of callers. It implements http.Handler.
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -249,11 +249,7 @@
 			defer f.mu.Unlock()
 			return f.table
 		},
-		LookupUpstream: func(id plan.UpstreamID) *route.Upstream {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			return f.upstreams.ByID[id]
-		},
+		LookupUpstream: f.lookupUpstream, AwaitUpstream: f.lookupUpstream,
 		Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(metrics.NewSet()), Now: time.Now,
 	})
 	f.frontend = httptest.NewServer(f.server)
@@ -261,6 +257,12 @@
 	return f
 }
 
+func (f *fixture) lookupUpstream(id plan.UpstreamID) *route.Upstream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstreams.ByID[id]
+}
+
 // ownPermits implements Permits for a host that has no others.
 type ownPermits struct{ *ratelimit.Limiter }
 
