--- a/edge/edge.go
+++ b/edge/edge.go
@@ -94,7 +94,7 @@
 
 	// evacuationPause and restartPause detect pauses of this process.
 	evacuationPause, restartPause *pauseGuard
-	cleanups     []func()
+	cleanups                      []func()
 }
 
 // Start starts a host. The returned function stops it immediately; Stop shuts it
