--- a/gossip/removal_test.go
+++ b/gossip/removal_test.go
@@ -70,7 +70,8 @@
 	// up to noticeDelay later.
 	failsFor    func(*simHost) bool
 	noticeDelay time.Duration
-	retryAt     map[*simHost]time.Time
+	// retryAt holds when each host calls the store again after a failure.
+	retryAt map[*simHost]time.Time
 	// answeredAt is when the store last answered each host.
 	answeredAt map[*simHost]time.Time
 }
