Refuse responses with a status that doesn't exist

What callers saw: an upstream in trouble sends status 000. On the product's own interface its caller gets status 200 with the upstream's body. On the users' platform the response is skipped as an interim one, and what follows it is read as the next head: a body that looks like a signed response reaches the caller as a whole 200. Statuses such as +20 and 099, a version such as 0.9, a switch of the protocol that nobody asked for and two blanks before the status did the same.

Cause: net/http takes any three characters as a status that strconv.Atoi takes, and any version of one digit each. link took all below 200 for interim, upstream.Client passed them on without an error, and the output to callers raised each status below 200 to 200.

Fix: package answer checks heads, line by line as their bytes arrive and before the parser has the end of the line. A later minor version, and no blank after the status, are as harmless as the standard says. All readers of responses go through it: link.Conn, and by link.CheckResponses the clients of net/http (calls, streams and load reports of upstreams, the platform's store, published lists, the load tool, the status command). A refused response fails as any broken one: 502 or a retry where the request may run twice, fault "broken" on the own interface, and the connection is closed. An answer with a status that is not final, as a host of an earlier version may hand on, aborts the caller's connection.

--- /dev/null
+++ b/answer/answer.go
@@ -0,0 +1,41 @@
+// Package answer checks the heads of HTTP/1 responses before a parser believes them.
+//
+// net/http accepts heads that RFC 9110 and RFC 9112 don't allow. What it makes of some of them is not
+// what the server sent: a status that doesn't exist, or a body that is a part of something else. A
+// Reader stands between a connection and the parser, and fails at the first line that is malformed.
+package answer
+
+import "fmt"
+
+// Reason tells why a head is refused.
+type Reason string
+
+// Reasons to refuse a head.
+const (
+	// BadVersion means that the version is not one of HTTP/1.
+	BadVersion Reason = "bad-version"
+	// BadStatus means that the status is not three digits, or of no known class.
+	BadStatus Reason = "bad-status"
+	// BadStatusLine means that the status line has another form.
+	BadStatusLine Reason = "bad-status-line"
+	// ProtocolSwitch means that the server turns to another protocol, which no request asks for.
+	ProtocolSwitch Reason = "protocol-switch"
+)
+
+// HeadError reports a head that the standard doesn't allow. The request may have run.
+type HeadError struct {
+	Reason Reason
+	// Line is the beginning of the line that is malformed, at most maxQuotedBytes long.
+	Line string
+}
+
+// maxQuotedBytes limits what an error quotes of a response.
+const maxQuotedBytes = 64
+
+func newHeadError(reason Reason, line []byte) *HeadError {
+	return &HeadError{Reason: reason, Line: string(line[:min(len(line), maxQuotedBytes)])}
+}
+
+func (e *HeadError) Error() string {
+	return fmt.Sprintf("malformed response: %s: %q", e.Reason, e.Line)
+}
--- /dev/null
+++ b/answer/checker.go
@@ -0,0 +1,124 @@
+package answer
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+)
+
+// section is a part of a response.
+type section int
+
+const (
+	// statusLine is the first line of a head, of the final one or of an interim one before it.
+	statusLine section = iota
+	// fields are the lines after it, up to the empty one.
+	fields
+	// content is all that follows the final head.
+	content
+)
+
+// Checker checks the heads of the response to one request as their bytes arrive: any number of interim
+// ones, and the final one. The zero value is ready to use.
+type Checker struct {
+	section section
+	// line is the beginning of a line whose end has not arrived. It is empty in the content.
+	line []byte
+	// status is that of the head that is being read, or of the final one.
+	status int
+}
+
+// Check checks the next bytes of a response. It returns how many of them a parser may have. These are
+// all, unless it fails with a *HeadError; then they end before the end of the line that is malformed.
+func (c *Checker) Check(p []byte) (int, error) {
+	checked := 0
+	for c.section != content {
+		end := bytes.IndexByte(p[checked:], '\n')
+		if end < 0 {
+			c.line = append(c.line, p[checked:]...)
+			break
+		}
+		if err := c.checkLine(c.join(p[checked : checked+end])); err != nil {
+			// Not nothing: a client of net/http may send a request again if it can't read the first byte.
+			return max(checked, 1), err
+		}
+		c.line = c.line[:0]
+		checked += end + 1
+	}
+	return len(p), nil
+}
+
+// join returns a line whose end has arrived, without its line ending.
+func (c *Checker) join(end []byte) []byte {
+	line := end
+	if len(c.line) > 0 {
+		c.line = append(c.line, end...)
+		line = c.line
+	}
+	return bytes.TrimSuffix(line, []byte("\r"))
+}
+
+// checkLine checks a line of a head.
+func (c *Checker) checkLine(line []byte) error {
+	switch {
+	case c.section == statusLine:
+		c.section = fields
+		return c.checkStatusLine(line)
+	case len(line) == 0:
+		return c.endHead()
+	}
+	return nil
+}
+
+// checkStatusLine checks the first line of a head: the version, the status, and a reason or none. A
+// minor version above 1 counts as 1, as RFC 9110 says.
+func (c *Checker) checkStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
+	switch {
+	case !isVersion(version):
+		return newHeadError(BadVersion, line)
+	case !isStatus(status):
+		return newHeadError(BadStatus, line)
+	case !isText(reason):
+		return newHeadError(BadStatusLine, line)
+	}
+	c.status = int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0')
+	return nil
+}
+
+// isVersion reports whether a version is one of HTTP/1.
+func isVersion(version []byte) bool {
+	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	return ok && len(minor) == 1 && isDigit(minor[0])
+}
+
+// isStatus reports whether a status has three digits, of which the first names a class that exists.
+func isStatus(status []byte) bool {
+	return len(status) == 3 && status[0] >= '1' && status[0] <= '5' && isDigit(status[1]) && isDigit(status[2])
+}
+
+func isDigit(b byte) bool { return b >= '0' && b <= '9' }
+
+// isText reports whether a text has no control bytes but tabs.
+func isText(text []byte) bool {
+	for _, b := range text {
+		if b < ' ' && b != '\t' || b == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// endHead checks a head as a whole. An interim one is followed by another.
+func (c *Checker) endHead() error {
+	switch {
+	case c.status == http.StatusSwitchingProtocols:
+		return newHeadError(ProtocolSwitch, []byte(strconv.Itoa(c.status)))
+	case c.status < http.StatusOK:
+		c.section = statusLine
+	default:
+		c.section = content
+	}
+	return nil
+}
--- a/cmd/mulberrydyke/status.go
+++ b/cmd/mulberrydyke/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"text/tabwriter"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"mulberrydyke/admin"
+	"mulberrydyke/link"
 )
 
 // statusTimeout limits the read of one host's status.
@@ -44,7 +46,9 @@
 func readStatus(ctx context.Context, address string) (admin.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	response, err := httpc.Do(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
+	transport := &http.Transport{DisableKeepAlives: true}
+	client := &http.Client{Transport: link.CheckResponses(transport, &net.Dialer{})}
+	response, err := httpc.NewServiceWithClient("status", client).Do(ctx, http.MethodGet, "http://"+address+"/v1/status", nil)
 	if err != nil {
 		return admin.Status{}, eris.Wrapf(err, "read the status of %s", address)
 	}
--- a/entry/output.go
+++ b/entry/output.go
@@ -27,15 +27,19 @@
 	return &callerOutput{w: c.w, controller: http.NewResponseController(c.w), writeTimeout: writeTimeout, requestID: j.ID}
 }
 
-// Begin writes the status and headers of the response.
+// Begin writes the status and headers of the response. It aborts the connection of the caller if the
+// status is not that of a final response.
 func (o *callerOutput) Begin(h ticket.Head) {
+	if h.Status < http.StatusOK {
+		panic(http.ErrAbortHandler)
+	}
 	o.headWritten = true
 	o.eventStream = h.ContentType == "text/event-stream"
 	if h.ContentType != "" {
 		o.w.Header().Set("Content-Type", h.ContentType)
 	}
 	o.w.Header().Set("X-Request-Id", o.requestID)
-	o.w.WriteHeader(max(h.Status, http.StatusOK))
+	o.w.WriteHeader(h.Status)
 }
 
 // Write writes p and flushes it. It fails if the caller does not take the bytes
--- a/gateway/exchange.go
+++ b/gateway/exchange.go
@@ -296,6 +296,7 @@
 	upstreamEx, err := conn.Send(ctx, server.Dialect, x.request, header, x.headerDeadline(now, lease))
 	if err != nil {
 		x.possibleRuns++
+		server.Metrics.RecordMalformedResponse(err)
 		x.endAttempt(ctx, lease, dispatch.Broken, err)
 		return attemptMayHaveRun
 	}
--- /dev/null
+++ b/gateway/malformed_test.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// malformedResponse is a response whose head the standard doesn't allow, with the ID of the request in
+// place of each %[1]s.
+type malformedResponse struct{ name, text string }
+
+// signed are the fields that make a response count as that of an upstream to a request.
+const signed = "Request-Id: %[1]s\r\nResponse-Seal: s\r\n"
+
+// malformedStatuses are responses whose status lines are malformed. What follows some of them looks like
+// another response.
+func malformedStatuses() []malformedResponse {
+	const body = "Content-Length: 5\r\n\r\nwrong"
+	responseInside := "HTTP/1.1 200 OK\r\n" + signed + body
+	return []malformedResponse{
+		{"status 000", "HTTP/1.1 000 X\r\n" + signed + body},
+		{"status 000 and a response as its body", "HTTP/1.1 000 X\r\n" + signed + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(responseInside)) + responseInside},
+		{"status 099 and a response as its body", "HTTP/1.1 099 X\r\n\r\n" + responseInside},
+		{"status +20 and a response as its body", "HTTP/1.1 +20 X\r\n\r\n" + responseInside},
+		{"status 000 after an interim head", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 X\r\n\r\n" + responseInside},
+		{"another protocol, and a response in it", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" + responseInside},
+		{"status 600", "HTTP/1.1 600 X\r\n" + signed + body},
+		{"version 0.9", "HTTP/0.9 200 OK\r\n" + signed + "\r\nwrong"},
+		{"version 2.0", "HTTP/2.0 200 OK\r\n" + signed + body},
+		{"two blanks", "HTTP/1.1  200 OK\r\n" + signed + body},
+		{"control byte in the reason", "HTTP/1.1 200 O\x01K\r\n" + signed + body},
+		{"not run, with status 000", "HTTP/1.1 000 X\r\nNot-Executed: 1\r\n" + signed + body},
+	}
+}
+
+// respondMalformed returns a handler that sends a malformed response once, after a number of whole ones,
+// and whole responses after it.
+func respondMalformed(text string, wholeBefore int, whole stubHandler) stubHandler {
+	answered := 0
+	return func(conn net.Conn, r receivedRequest) bool {
+		if answered++; answered != wholeBefore+1 {
+			return whole(conn, r)
+		}
+		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%[1]s", r.Header.Get("Request-Id")))
+		return true
+	}
+}
+
+// checkRefused checks that a caller gets a failure which claims no more than is known.
+func checkRefused(t *testing.T, got callerResponse) {
+	t.Helper()
+	if diff := cmp.Diff([]any{http.StatusBadGateway, ""}, []any{got.status, got.header.Get("Response-Seal")}); diff != "" {
+		t.Errorf("body %q, error %v: %s", got.body, got.err, diff)
+	}
+}
+
+// checkMalformed checks what callers get for malformed responses, and for the requests that follow.
+func checkMalformed(t *testing.T, responses []malformedResponse) {
+	for _, r := range responses {
+		for path, whole := range map[string]stubHandler{"/place/x": respond(200, eventText(1, 1)), "/draft/x": respondStream(1, 1)} {
+			for _, wholeBefore := range []int{0, 1} {
+				t.Run(fmt.Sprintf("%s, %s, %d responses before", r.name, path, wholeBefore), func(t *testing.T) {
+					t.Parallel()
+					u := newStub(t, "u1", respondMalformed(r.text, wholeBefore, whole))
+					f := newFixture(t, u)
+					for range wholeBefore {
+						checkWhole(t, f.post(path, "first"))
+					}
+					checkRefused(t, f.post(path, "p"))
+					checkWhole(t, f.post(path, "next"))
+					u.mu.Lock()
+					defer u.mu.Unlock()
+					if diff := cmp.Diff(2, u.accepted); diff != "" {
+						t.Errorf("connections, the first of which was used no more: %s", diff)
+					}
+				})
+			}
+		}
+		for path, whole := range map[string]stubHandler{"/status/x": respond(200, eventText(1, 1)), "/letter/x": respondStream(1, 1)} {
+			t.Run(r.name+", "+path, func(t *testing.T) {
+				t.Parallel()
+				handler := respondMalformed(r.text, 0, whole)
+				checkWhole(t, newFixture(t, newStub(t, "u1", handler), newStub(t, "u2", handler)).post(path, "p"))
+			})
+		}
+	}
+}
+
+// checkWhole checks that a caller gets a whole response of an upstream.
+func checkWhole(t *testing.T, got callerResponse) {
+	t.Helper()
+	if got.status != http.StatusOK || got.err != nil || got.body != eventText(1, 1) || got.header.Get("Response-Seal") == "" {
+		t.Errorf("status %d, body %q, error %v, want a whole response", got.status, got.body, got.err)
+	}
+}
+
+// TestMalformedResponsesAreCounted checks that malformed responses count by their reason.
+func TestMalformedResponsesAreCounted(t *testing.T) {
+	f := newFixture(t, newStub(t, "u1", respondMalformed("HTTP/1.1 000 X\r\n\r\n", 0, respond(200, eventText(1, 1)))))
+	checkRefused(t, f.post("/place/x", "p"))
+	checkWhole(t, f.post("/place/x", "p"))
+	var counters strings.Builder
+	f.server.Metrics.set.WritePrometheus(&counters)
+	if want := `mulberrydyke_malformed_responses_total{reason="bad-status"} 1`; !strings.Contains(counters.String(), want) {
+		t.Errorf("no %s in %s", want, counters.String())
+	}
+}
+
+// TestMalformedStatusIsNoAnswer guards against responses with a status that doesn't exist which callers
+// get as an answer, or whose body they get as one.
+func TestMalformedStatusIsNoAnswer(t *testing.T) { checkMalformed(t, malformedStatuses()) }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"mulberrydyke/answer"
 	"mulberrydyke/dispatch"
 )
 
@@ -25,6 +27,14 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrydyke_tries_total{result=%q}`, result)).Inc()
 }
 
+// RecordMalformedResponse counts the response of an upstream if err says that its head was malformed.
+func (m *Metrics) RecordMalformedResponse(err error) {
+	var malformed *answer.HeadError
+	if errors.As(err, &malformed) {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrydyke_malformed_responses_total{reason=%q}`, malformed.Reason)).Inc()
+	}
+}
+
 // RecordRequest records a request that was sent to an upstream, or was refused
 // because none took it.
 func (m *Metrics) RecordRequest(x *exchange, now time.Time) {
--- a/host/host.go
+++ b/host/host.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"mulberrydyke/admin"
+	"mulberrydyke/answer"
 	"mulberrydyke/audit"
 	"mulberrydyke/clock"
 	"mulberrydyke/entry"
@@ -126,7 +127,9 @@
 
 // buildLists creates the upstream clients, the platform client and the list manager.
 func (h *Host) buildLists() {
-	upstreams, cleanup := upstream.NewSet(h.settings.Bounds.StreamIdleTimeout.Std())
+	malformed := &malformedRecorder{log: h.log, metrics: h.metrics}
+	upstreams, cleanup := upstream.NewSet(h.settings.Bounds.StreamIdleTimeout.Std(),
+		upstream.WithMalformedFunc(func(id plan.UpstreamID, err *answer.HeadError) { malformed.record(time.Now(), id, err) }))
 	h.upstreams = upstreams
 	h.cleanups = append(h.cleanups, cleanup)
 	client, cleanup := registry.NewClient(h.settings.Platform)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -153,11 +153,12 @@
 
 // readHead reads response headers until one belongs to the request. It skips 1xx
 // responses and responses to other requests. One that names no request is accepted
-// only on a connection that had no other.
+// only on a connection that had no other. It fails with an *answer.HeadError if a header
+// is malformed.
 func (x *Exchange) readHead(d call.Dialect, r *call.Request) error {
 	for range maxStrayResponses {
 		x.conn.limited.limit(maxHeadBytes)
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		response, err := x.conn.readResponse(r.Method)
 		if err != nil {
 			return err
 		}
@@ -180,6 +181,19 @@
 	return errStray
 }
 
+// readResponse reads the header of one response to a request with a method.
+func (c *Conn) readResponse(method string) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	if err := c.answers.Expect(buffered); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if malformed := c.answers.Err(); malformed != nil {
+		return nil, malformed
+	}
+	return response, err
+}
+
 // Body returns the response body. Reads fail if the connection is interrupted, also where the
 // response ends with it and a pending write of the request body gets the error first.
 func (x *Exchange) Body() io.Reader { return x.Response.Body }
--- a/link/pool.go
+++ b/link/pool.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"mulberrydyke/answer"
 	"mulberrydyke/call"
 )
 
@@ -54,8 +55,9 @@
 	// has ended the connection in order.
 	stream *orderlyConn
 	pool   *Pool
-	// reader buffers what it reads through limited.
+	// reader buffers what it reads through answers, and that through limited.
 	reader  *bufio.Reader
+	answers *answer.Reader
 	limited *limitedReader
 	// Reused is set once the connection was put into a pool.
 	Reused bool
@@ -117,7 +119,11 @@
 	p.mu.Unlock()
 	stream := &orderlyConn{Conn: raw}
 	limited := &limitedReader{reader: stream}
-	return &Conn{netConn: raw.(*net.TCPConn), stream: stream, pool: p, reader: bufio.NewReaderSize(limited, readBufferBytes), limited: limited}, nil
+	answers := answer.NewReader(limited)
+	return &Conn{
+		netConn: raw.(*net.TCPConn), stream: stream, pool: p,
+		reader: bufio.NewReaderSize(answers, readBufferBytes), answers: answers, limited: limited,
+	}, nil
 }
 
 // Unreachable reports whether a new connection can't be opened, as after the
--- /dev/null
+++ b/link/transport.go
@@ -0,0 +1,60 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+
+	"mulberrydyke/answer"
+)
+
+// checkedConn is a connection to a server whose responses are checked as they are read.
+type checkedConn struct {
+	net.Conn
+	answers *answer.Reader
+}
+
+// Read implements net.Conn. It fails with an *answer.HeadError where the head of a response is malformed.
+func (c *checkedConn) Read(p []byte) (int, error) { return c.answers.Read(p) }
+
+// checkedTransport sends requests over connections that it checks.
+type checkedTransport struct{ transport *http.Transport }
+
+// CheckResponses makes a transport fail with an *answer.HeadError where the head of a response is
+// malformed, and close the connection. The transport opens its connections with dialer, as DialOrderly
+// does. It must not use TLS, and its requests have to go through the returned round tripper.
+func CheckResponses(transport *http.Transport, dialer *net.Dialer) http.RoundTripper {
+	dial := DialOrderly(dialer)
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &checkedConn{Conn: c, answers: answer.NewReader(c)}, nil
+	}
+	return &checkedTransport{transport: transport}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *checkedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	var conn *checkedConn
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*checkedConn); ok {
+			conn = c
+			// A failure is met again by the first read.
+			_ = c.answers.Expect(nil)
+		}
+	}}
+	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if conn == nil {
+		return response, err
+	}
+	if malformed := conn.answers.Err(); err != nil && malformed != nil {
+		return nil, malformed
+	}
+	return response, err
+}
+
+// CloseIdleConnections closes the idle connections. A client of net/http calls it.
+func (t *checkedTransport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
--- a/load/client.go
+++ b/load/client.go
@@ -7,11 +7,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"time"
 
+	"mulberrydyke/link"
 	"mulberrydyke/plan"
 	"mulberrydyke/standin"
 )
@@ -49,7 +51,8 @@
 func NewClient() (*Client, func()) {
 	const maxIdleConnsPerHost = 512
 	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, MaxIdleConns: 0}
-	return &Client{http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
+	checked := link.CheckResponses(transport, &net.Dialer{})
+	return &Client{http: &http.Client{Transport: checked}}, transport.CloseIdleConnections
 }
 
 // chatRequest is the body of a chat completion request.
--- a/metric/metric.go
+++ b/metric/metric.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"mulberrydyke/answer"
 	"mulberrydyke/audit"
 	"mulberrydyke/plan"
 )
@@ -49,6 +50,11 @@
 	s.Inc(fmt.Sprintf(`mulberrydyke_lists_rejected_total{list=%q}`, kind))
 }
 
+// RecordMalformedResponse counts a response of an upstream whose head was malformed.
+func (s *Set) RecordMalformedResponse(reason answer.Reason) {
+	s.Inc(fmt.Sprintf(`mulberrydyke_malformed_responses_total{reason=%q}`, reason))
+}
+
 // RecordRefusal counts a request that was refused before its account was known.
 func (s *Set) RecordRefusal(code string) {
 	s.Inc(fmt.Sprintf(`mulberrydyke_refused_total{code=%q}`, code))
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -20,6 +20,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"mulberrydyke/clock"
+	"mulberrydyke/link"
 	"mulberrydyke/plan"
 )
 
@@ -68,11 +69,9 @@
 // NewClient returns a client and a function that closes its idle connections.
 // The addresses are IP addresses with ports; they are tried in order.
 func NewClient(addresses []string) (*Client, func()) {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 8,
-	}
-	c := &Client{addresses: addresses, httpClient: &http.Client{Transport: transport}}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8}
+	checked := link.CheckResponses(transport, &net.Dialer{Timeout: dialTimeout})
+	c := &Client{addresses: addresses, httpClient: &http.Client{Transport: checked}}
 	for _, a := range addresses {
 		c.services = append(c.services, httpc.NewServiceWithClient("platform "+a, c.httpClient))
 	}
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"mulberrydyke/answer"
 	"mulberrydyke/link"
 	"mulberrydyke/plan"
 	"mulberrydyke/pool"
@@ -55,28 +56,48 @@
 	transports [2]*http.Transport
 	// instance holds a pool.Instance.
 	instance atomic.Value
+	// onMalformed is called with each response whose head is malformed. It is not nil.
+	onMalformed MalformedFunc
 }
 
+// MalformedFunc is called with an upstream whose response has a malformed head.
+type MalformedFunc func(plan.UpstreamID, *answer.HeadError)
+
+// Option changes a Client, or all clients of a Set.
+type Option func(*Client)
+
+// WithMalformedFunc makes a client call f with each response whose head is malformed. The default
+// is to call nothing. The request fails in both cases.
+func WithMalformedFunc(f MalformedFunc) Option { return func(c *Client) { c.onMalformed = f } }
+
 // NewClient returns a client for an upstream and its cleanup function. A request
 // fails if it makes no progress for progressTimeout.
-func NewClient(u plan.Upstream, progressTimeout time.Duration) (*Client, func()) {
-	c := &Client{id: u.ID, address: u.Address, progressTimeout: progressTimeout}
+func NewClient(u plan.Upstream, progressTimeout time.Duration, options ...Option) (*Client, func()) {
+	c := &Client{id: u.ID, address: u.Address, progressTimeout: progressTimeout, onMalformed: func(plan.UpstreamID, *answer.HeadError) {}}
+	for _, option := range options {
+		option(c)
+	}
 	for i := range c.transports {
 		c.transports[i] = &http.Transport{
-			DialContext:         link.DialOrderly(&net.Dialer{Timeout: dialTimeout}),
 			IdleConnTimeout:     idleConnTimeout,
 			MaxIdleConnsPerHost: maxIdleConns,
 			DisableCompression:  true,
 			DisableKeepAlives:   i == 1,
 		}
 	}
-	name := "upstream " + string(u.ID)
-	c.pooled = httpc.NewServiceWithClient(name, &http.Client{Transport: c.transports[0], CheckRedirect: noRedirect})
-	c.unpooled = httpc.NewServiceWithClient(name, &http.Client{Transport: c.transports[1], CheckRedirect: noRedirect})
+	c.pooled = newService(u.ID, c.transports[0])
+	c.unpooled = newService(u.ID, c.transports[1])
 	c.instance.Store(pool.Instance(""))
 	return c, c.transports[0].CloseIdleConnections
 }
 
+// newService returns a client that sends requests to an upstream over a transport, and checks the
+// responses.
+func newService(id plan.UpstreamID, transport *http.Transport) httpc.Service {
+	checked := link.CheckResponses(transport, &net.Dialer{Timeout: dialTimeout})
+	return httpc.NewServiceWithClient("upstream "+string(id), &http.Client{Transport: checked, CheckRedirect: noRedirect})
+}
+
 // noRedirect makes the client return redirects as they are instead of following
 // them.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
@@ -144,6 +165,7 @@
 	sentAt := time.Now()
 	response, err := service.DoRequest(request)
 	if err != nil {
+		c.reportMalformed(err)
 		return nil, c.sendError(ctx, err, gotConn.Load())
 	}
 	if instance := response.Header.Get(InstanceHeader); instance != "" {
@@ -155,6 +177,14 @@
 	return response, nil
 }
 
+// reportMalformed calls onMalformed if err is that of a response with a malformed head.
+func (c *Client) reportMalformed(err error) {
+	var malformed *answer.HeadError
+	if errors.As(err, &malformed) {
+		c.onMalformed(c.id, malformed)
+	}
+}
+
 // sendError returns the *Error for a failure before the response header arrived.
 // Without a connection nothing was sent. This also covers requests that the
 // client's circuit breaker refuses, since it does so before a connection is
--- a/upstream/set.go
+++ b/upstream/set.go
@@ -10,6 +10,7 @@
 // Set holds a client for each listed upstream.
 type Set struct {
 	progressTimeout time.Duration
+	options         []Option
 	mu              sync.Mutex
 	clients         map[plan.UpstreamID]*setEntry
 }
@@ -22,9 +23,9 @@
 	address string
 }
 
-// NewSet returns an empty set and its cleanup function.
-func NewSet(progressTimeout time.Duration) (*Set, func()) {
-	s := &Set{progressTimeout: progressTimeout, clients: map[plan.UpstreamID]*setEntry{}}
+// NewSet returns an empty set, whose clients have the given options, and its cleanup function.
+func NewSet(progressTimeout time.Duration, options ...Option) (*Set, func()) {
+	s := &Set{progressTimeout: progressTimeout, options: options, clients: map[plan.UpstreamID]*setEntry{}}
 	return s, func() { s.Update(&plan.Upstreams{}) }
 }
 
@@ -41,7 +42,7 @@
 			continue
 		}
 		s.remove(u.ID)
-		client, cleanup := NewClient(u, s.progressTimeout)
+		client, cleanup := NewClient(u, s.progressTimeout, s.options...)
 		s.clients[u.ID] = &setEntry{client: client, cleanup: cleanup, address: u.Address}
 	}
 	for id := range s.clients {
