Refuse responses with the malformed name of a field

What callers saw: an upstream in trouble sends a head in which the name of a field holds a blank, inside, before the colon or in front. Callers got it as a signed 200 with that line passed on, or with another body: "Content-Length : 2" is no length and "Transfer-Encoding : chunked" no coding, so that the sizes of the chunks stood in the body.

Cause: the parser of net/http lets blanks in names pass, and joins a line that begins with a blank to the one before. Control bytes and bytes that no token has it refused already; these stay in the table.

Fix: answer.Checker believes a field only if its name is a token that the colon follows at once, its value has no control bytes and its line does not begin with a blank. RFC 9112 lets a proxy refuse folded lines; a name after a blank can't be told from one.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -18,6 +18,13 @@
 	BadStatus Reason = "bad-status"
 	// BadStatusLine means that the status line has another form.
 	BadStatusLine Reason = "bad-status-line"
+	// BadFieldName means that the name of a field is not a token, or that a line has none.
+	BadFieldName Reason = "bad-field-name"
+	// BadFieldValue means that the value of a field has control bytes.
+	BadFieldValue Reason = "bad-field-value"
+	// FoldedLine means that a line begins with a blank. It is the name of a field after a blank, or goes
+	// on with the value of the one before.
+	FoldedLine Reason = "folded-line"
 	// ProtocolSwitch means that the server turns to another protocol, which no request asks for.
 	ProtocolSwitch Reason = "protocol-switch"
 )
--- a/answer/checker.go
+++ b/answer/checker.go
@@ -67,7 +67,7 @@
 	case len(line) == 0:
 		return c.endHead()
 	}
-	return nil
+	return c.checkField(line)
 }
 
 // checkStatusLine checks the first line of a head: the version, the status, and a reason or none. A
@@ -110,6 +110,40 @@
 	return true
 }
 
+// checkField checks a line with a field.
+func (c *Checker) checkField(line []byte) error {
+	name, value, named := bytes.Cut(line, []byte(":"))
+	switch {
+	case line[0] == ' ' || line[0] == '\t':
+		return newHeadError(FoldedLine, line)
+	case !named || !isToken(name):
+		return newHeadError(BadFieldName, line)
+	case !isText(value):
+		return newHeadError(BadFieldValue, line)
+	}
+	return nil
+}
+
+// isToken reports whether a name has only bytes that a token may have, and at least one.
+func isToken(name []byte) bool {
+	for _, b := range name {
+		if !isTokenByte[b] {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// isTokenByte tells which bytes a token may have.
+var isTokenByte = tokenBytes("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ")
+
+func tokenBytes(bytes string) (out [256]bool) {
+	for i := range len(bytes) {
+		out[bytes[i]] = true
+	}
+	return out
+}
+
 // endHead checks a head as a whole. An interim one is followed by another.
 func (c *Checker) endHead() error {
 	switch {
--- a/answer/checker_test.go
+++ b/answer/checker_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -62,8 +63,47 @@
 	{"another protocol that nobody asked for", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade", answer.ProtocolSwitch},
 }
 
+// ok is a sound status line.
+const ok = "HTTP/1.1 200 OK\r\n"
+
+// fieldCases are heads whose fields differ.
+var fieldCases = []headCase{
+	{"sound, with all bytes of a token", ok + "!#$%&'*+-.^_`|~09azAZ: x", ""},
+	{"sound, without a value", ok + "X-A:", ""},
+	{"sound, with blanks and tabs around the value", ok + "X-A: \t x \t ", ""},
+	{"sound, value with a colon", ok + "X-A: b: c", ""},
+	{"sound, value with bytes of UTF-8", ok + "X-A: \u00e9", ""},
+	{"harmless: lines end without a return", "HTTP/1.1 200 OK\nX-A: b", ""},
+	{"blank before the colon", ok + "X-A : b", answer.BadFieldName},
+	{"tab before the colon", ok + "X-A\t: b", answer.BadFieldName},
+	{"blank in a name", ok + "X A: b", answer.BadFieldName},
+	{"tab in a name", ok + "X\tA: b", answer.BadFieldName},
+	{"blank before a name", ok + "X-A: b\r\n X-B: c", answer.FoldedLine},
+	{"blank before the first name", ok + " X-A: b", answer.FoldedLine},
+	{"tab before a name", ok + "X-A: b\r\n\tX-B: c", answer.FoldedLine},
+	{"value that goes on in the next line", ok + "X-A: b\r\n c", answer.FoldedLine},
+	{"line of a blank", ok + "X-A: b\r\n \r\nX-B: c", answer.FoldedLine},
+	{"no name", ok + ": b", answer.BadFieldName},
+	{"no colon", ok + "X-A b", answer.BadFieldName},
+	{"zero byte in a name", ok + "X\x00A: b", answer.BadFieldName},
+	{"control byte in a name", ok + "X\x1fA: b", answer.BadFieldName},
+	{"delete in a name", ok + "X\x7fA: b", answer.BadFieldName},
+	{"return in a name", ok + "X\rA: b", answer.BadFieldName},
+	{"separator in a name", ok + "X(A): b", answer.BadFieldName},
+	{"quoted name", ok + "\"X-A\": b", answer.BadFieldName},
+	{"byte above ASCII in a name", ok + "X-\u00e9: b", answer.BadFieldName},
+	{"zero byte in a value", ok + "X-A: b\x00c", answer.BadFieldValue},
+	{"return in a value", ok + "X-A: b\rContent-Length: 1", answer.BadFieldValue},
+	{"return after a value", ok + "X-A: b\r\r\nX-B: c", answer.BadFieldValue},
+	{"blank before the colon in an interim head", "HTTP/1.1 103 Early Hints\r\nX-A : b\r\n\r\nHTTP/1.1 200 OK", answer.BadFieldName},
+	{"length with a blank before the colon", ok + "Content-Length : 2", answer.BadFieldName},
+	{"length with a blank in its name", ok + "Content Length: 2", answer.BadFieldName},
+	{"length with a blank before its name", ok + "X-A: b\r\n Content-Length: 2", answer.FoldedLine},
+	{"chunks with a blank before the colon", ok + "Transfer-Encoding : chunked", answer.BadFieldName},
+}
+
 // headCases returns all cases.
-func headCases() []headCase { return statusLineCases }
+func headCases() []headCase { return slices.Concat(statusLineCases, fieldCases) }
 
 // TestHeads checks which heads are refused, and that a parser believes none of these, however their bytes
 // arrive.
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -112,6 +112,35 @@
 	}
 }
 
+// malformedNames are responses with a field whose name is malformed. Some of these say where the body
+// ends, so that a parser which does not know them reads another body.
+func malformedNames() []malformedResponse {
+	const head, body = "HTTP/1.1 200 OK\r\n" + signed, "\r\nwrong"
+	const framed = "Content-Length: 5\r\n" + body
+	return []malformedResponse{
+		{"blank before the colon", head + "X-Note : x\r\n" + framed},
+		{"blank in a name", head + "X Note: x\r\n" + framed},
+		{"blank before a name", head + " X-Note: x\r\n" + framed},
+		{"tab in a name", head + "X\tNote: x\r\n" + framed},
+		{"control byte in a name", head + "X\x01Note: x\r\n" + framed},
+		{"zero byte in a name", head + "X\x00Note: x\r\n" + framed},
+		{"no name", head + ": x\r\n" + framed},
+		{"length with a blank before the colon", head + "Content-Length : 2\r\n" + body},
+		{"length with a blank before its name", head + " Content-Length: 2\r\n" + body},
+		{"two lengths, one with a blank", head + "Content-Length : 2\r\n" + framed},
+		{"chunks with a blank before the colon", head + "Transfer-Encoding : chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"},
+		{"chunks with a blank in the name", head + "Transfer Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n"},
+		{"ID with a blank before the colon", "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nRequest-Id : %[1]s\r\n" + framed},
+		{"failure", "HTTP/1.1 500 X\r\n" + signed + "X-Note : x\r\n" + framed},
+		{"not run", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n" + signed + "X-Note : x\r\n" + framed},
+		{"not run, with a blank before the colon", "HTTP/1.1 503 X\r\nNot-Executed : 1\r\n" + signed + framed},
+	}
+}
+
+// TestMalformedNameIsNoAnswer guards against responses with the malformed name of a field which callers
+// get as an answer, with that field or with a body that is not the upstream's.
+func TestMalformedNameIsNoAnswer(t *testing.T) { checkMalformed(t, malformedNames()) }
+
 // TestMalformedStatusIsNoAnswer guards against responses with a status that doesn't exist which callers
 // get as an answer, or whose body they get as one.
 func TestMalformedStatusIsNoAnswer(t *testing.T) { checkMalformed(t, malformedStatuses()) }
