Refuse responses that don't say plainly where they end

What callers saw: the same cause in the fields that frame a body. With a Transfer-Encoding in a response of HTTP/1.0 they got the sizes of its chunks as part of a signed 200, also where a Content-Length stood beside it. Responses with both fields, with two lengths that agree, with content of a 204 or of an interim head were believed though they contradict themselves.

Cause: net/http ignores a coding in an older version, as well as a length beside a coding, merges lengths that agree and skips what a status without content declares. After it has parsed a head, nothing of this can be seen any more.

Fix: answer.Checker takes both fields into account as the head arrives. A length is one number, a coding is "chunked" in a version that knows it, one of the two comes once, and no status that never has content declares any. A length of zero there is harmless, as are a trailer with malformed names, which nobody reads, and zeros in front of a length.

The end of a head that is refused as a whole is held back now also where its line feed arrives by itself. Before, a client of net/http could have believed a switch of the protocol that arrives so; the table, byte by byte, found it.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -25,6 +25,17 @@
 	// FoldedLine means that a line begins with a blank. It is the name of a field after a blank, or goes
 	// on with the value of the one before.
 	FoldedLine Reason = "folded-line"
+	// BadLength means that a Content-Length is not a number of bytes.
+	BadLength Reason = "bad-length"
+	// BadCoding means that a Transfer-Encoding is not "chunked", or that an older version has one, which
+	// knows none.
+	BadCoding Reason = "bad-coding"
+	// RepeatedField means that a field comes more than once which may come once.
+	RepeatedField Reason = "repeated-field"
+	// LengthAndCoding means that a head has both a Content-Length and a Transfer-Encoding.
+	LengthAndCoding Reason = "length-and-coding"
+	// UnexpectedContent means that a head declares content, and has a status that never has any.
+	UnexpectedContent Reason = "unexpected-content"
 	// ProtocolSwitch means that the server turns to another protocol, which no request asks for.
 	ProtocolSwitch Reason = "protocol-switch"
 )
--- a/answer/checker.go
+++ b/answer/checker.go
@@ -24,8 +24,20 @@
 	section section
 	// line is the beginning of a line whose end has not arrived. It is empty in the content.
 	line []byte
-	// status is that of the head that is being read, or of the final one.
+	// head is what the head that is being read has said so far, or what the final one has said.
+	head head
+}
+
+// head is what a head says of its response.
+type head struct {
+	// status is one of a class that exists.
 	status int
+	// minor is the minor version of HTTP/1, as a digit.
+	minor byte
+	// hasLength and hasCoding are set if there is a Content-Length or a Transfer-Encoding.
+	hasLength, hasCoding bool
+	// length is the Content-Length in bytes, 0 or more.
+	length int64
 }
 
 // Check checks the next bytes of a response. It returns how many of them a parser may have. These are
@@ -38,9 +50,13 @@
 			c.line = append(c.line, p[checked:]...)
 			break
 		}
+		first := c.section == statusLine && len(c.line) == 0
 		if err := c.checkLine(c.join(p[checked : checked+end])); err != nil {
-			// Not nothing: a client of net/http may send a request again if it can't read the first byte.
-			return max(checked, 1), err
+			if first && checked == 0 {
+				// A client of net/http may send a request again if it can't read the first byte.
+				checked = 1
+			}
+			return checked, err
 		}
 		c.line = c.line[:0]
 		checked += end + 1
@@ -83,7 +99,7 @@
 	case !isText(reason):
 		return newHeadError(BadStatusLine, line)
 	}
-	c.status = int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0')
+	c.head = head{status: int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0'), minor: version[len(version)-1]}
 	return nil
 }
 
@@ -121,6 +137,9 @@
 	case !isText(value):
 		return newHeadError(BadFieldValue, line)
 	}
+	if reason := c.head.update(name, bytes.Trim(value, " \t")); reason != "" {
+		return newHeadError(reason, line)
+	}
 	return nil
 }
 
@@ -146,13 +165,12 @@
 
 // endHead checks a head as a whole. An interim one is followed by another.
 func (c *Checker) endHead() error {
-	switch {
-	case c.status == http.StatusSwitchingProtocols:
-		return newHeadError(ProtocolSwitch, []byte(strconv.Itoa(c.status)))
-	case c.status < http.StatusOK:
+	if reason := c.head.check(); reason != "" {
+		return newHeadError(reason, []byte("status "+strconv.Itoa(c.head.status)))
+	}
+	c.section = content
+	if c.head.status < http.StatusOK {
 		c.section = statusLine
-	default:
-		c.section = content
 	}
 	return nil
 }
--- a/answer/readers_test.go
+++ b/answer/readers_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -71,9 +70,13 @@
 	_, _ = io.WriteString(conn, response)
 }
 
-// response returns the whole response of a case.
+// response returns the whole response of a case, with more fields.
 func (c headCase) response(fields, body string) string {
-	return c.head + "\r\n" + fields + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)) + body
+	frame := c.frame
+	if frame == nil {
+		frame = plain("Content-Length: %d")
+	}
+	return strings.TrimSuffix(c.head, "\r\n") + "\r\n" + fields + frame(body)
 }
 
 // errNotBelieved reports a response that was not believed, by a reader that tells no error.
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -39,9 +39,9 @@
 	}
 }
 
-// respondMalformed returns a handler that sends a malformed response once, after a number of whole ones,
-// and whole responses after it.
-func respondMalformed(text string, wholeBefore int, whole stubHandler) stubHandler {
+// respondOnce returns a handler that sends a response once, with the ID of the request in place of each
+// %[1]s, after a number of whole responses and before further ones.
+func respondOnce(text string, wholeBefore int, whole stubHandler) stubHandler {
 	answered := 0
 	return func(conn net.Conn, r receivedRequest) bool {
 		if answered++; answered != wholeBefore+1 {
@@ -67,7 +67,7 @@
 			for _, wholeBefore := range []int{0, 1} {
 				t.Run(fmt.Sprintf("%s, %s, %d responses before", r.name, path, wholeBefore), func(t *testing.T) {
 					t.Parallel()
-					u := newStub(t, "u1", respondMalformed(r.text, wholeBefore, whole))
+					u := newStub(t, "u1", respondOnce(r.text, wholeBefore, whole))
 					f := newFixture(t, u)
 					for range wholeBefore {
 						checkWhole(t, f.post(path, "first"))
@@ -85,7 +85,7 @@
 		for path, whole := range map[string]stubHandler{"/status/x": respond(200, eventText(1, 1)), "/letter/x": respondStream(1, 1)} {
 			t.Run(r.name+", "+path, func(t *testing.T) {
 				t.Parallel()
-				handler := respondMalformed(r.text, 0, whole)
+				handler := respondOnce(r.text, 0, whole)
 				checkWhole(t, newFixture(t, newStub(t, "u1", handler), newStub(t, "u2", handler)).post(path, "p"))
 			})
 		}
@@ -102,7 +102,7 @@
 
 // TestMalformedResponsesAreCounted checks that malformed responses count by their reason.
 func TestMalformedResponsesAreCounted(t *testing.T) {
-	f := newFixture(t, newStub(t, "u1", respondMalformed("HTTP/1.1 000 X\r\n\r\n", 0, respond(200, eventText(1, 1)))))
+	f := newFixture(t, newStub(t, "u1", respondOnce("HTTP/1.1 000 X\r\n\r\n", 0, respond(200, eventText(1, 1)))))
 	checkRefused(t, f.post("/place/x", "p"))
 	checkWhole(t, f.post("/place/x", "p"))
 	var counters strings.Builder
@@ -141,6 +141,57 @@
 // get as an answer, with that field or with a body that is not the upstream's.
 func TestMalformedNameIsNoAnswer(t *testing.T) { checkMalformed(t, malformedNames()) }
 
+// malformedFramings are responses that don't say in the way of the standard where the body ends.
+func malformedFramings() []malformedResponse {
+	const head, chunks = "HTTP/1.1 200 OK\r\n" + signed, "\r\n5\r\nwrong\r\n0\r\n\r\n"
+	return []malformedResponse{
+		{"chunks in an older version", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n" + signed + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunks},
+		{"length and chunks", head + "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n" + chunks},
+		{"chunks and length", head + "Transfer-Encoding: chunked\r\nContent-Length: 15\r\n" + chunks},
+		{"two lengths that agree", head + "Content-Length: 5\r\nContent-Length: 5\r\n\r\nwrong"},
+		{"two lengths that differ", head + "Content-Length: 5\r\nContent-Length: 2\r\n\r\nwrong"},
+		{"length with a sign", head + "Content-Length: +5\r\n\r\nwrong"},
+		{"another coding", head + "Transfer-Encoding: gzip, chunked\r\n" + chunks},
+		{"content of no content", "HTTP/1.1 204 X\r\n" + signed + "Content-Length: 5\r\n\r\nwrong"},
+		{"chunks of no content", "HTTP/1.1 204 X\r\n" + signed + "Transfer-Encoding: chunked\r\n" + chunks},
+		{"content of an interim head", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" + head + "Content-Length: 5\r\n\r\nwrong"},
+	}
+}
+
+// TestMalformedFramingIsNoAnswer guards against responses that contradict themselves, or say in no known
+// way where they end, and that callers get with another body or as they are.
+func TestMalformedFramingIsNoAnswer(t *testing.T) { checkMalformed(t, malformedFramings()) }
+
+// TestUnusualSoundResponsesGoOn guards against a check that refuses what the standard allows.
+func TestUnusualSoundResponsesGoOn(t *testing.T) {
+	const body = "Content-Length: 5\r\n\r\nright"
+	for _, c := range []struct {
+		text, body string
+		status     int
+	}{
+		{"HTTP/1.1 200\r\n" + signed + body, "right", 200},
+		{"HTTP/1.0 200 OK\r\n" + signed + body, "right", 200},
+		{"HTTP/1.1 200 OK\n" + strings.ReplaceAll(signed+body, "\r", ""), "right", 200},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + body, "right", 200},
+		{"HTTP/1.1 200 OK\r\n" + signed + "transfer-encoding:Chunked\r\n\r\n5;a=b\r\nright\r\n0\r\nX-Note: x\r\n\r\n", "right", 200},
+		{"HTTP/1.1 201 X\r\n" + signed + body, "right", 201},
+		{"HTTP/1.1 204 X\r\n" + signed + "Content-Length: 0\r\n\r\n", "", 204},
+		{"HTTP/1.1 299 X\r\n" + signed + body, "right", 299},
+		{"HTTP/1.1 304 X\r\n" + signed + "Content-Length: 5\r\n\r\n", "", 304},
+		{"HTTP/1.1 302 X\r\n" + signed + body, "right", 302},
+		{"HTTP/1.1 404 X\r\n" + signed + body, "right", 404},
+		{"HTTP/1.1 418 \r\n" + signed + body, "right", 418},
+		{"HTTP/1.1 500 X\r\n" + signed + body, "right", 500},
+		{"HTTP/1.1 599 X\r\n" + signed + body, "right", 599},
+	} {
+		f := newFixture(t, newStub(t, "u1", respondOnce(c.text, 0, closeConn)))
+		got := f.post("/place/x", "p")
+		if diff := cmp.Diff([]any{c.status, c.body, "s", true}, []any{got.status, got.body, got.header.Get("Response-Seal"), got.err == nil}); diff != "" {
+			t.Errorf("%q: %s", c.text, diff)
+		}
+	}
+}
+
 // TestMalformedStatusIsNoAnswer guards against responses with a status that doesn't exist which callers
 // get as an answer, or whose body they get as one.
 func TestMalformedStatusIsNoAnswer(t *testing.T) { checkMalformed(t, malformedStatuses()) }
