Refuse responses that don't say plainly whose they are

What callers saw: a head with two IDs of requests, its own and another's, or two signatures counts by the first of each, and the caller gets all as part of a signed 200. On the product's own interface the same holds for the ID and the instance, and a published list is believed with two revisions. The platform's store was sound already: its era is believed only if there is one.

Cause: http.Header.Get takes the first of several values.

Fix: answer.CheckOnce refuses a parsed head that repeats one of the fields which say whose response it is. The client closes its idle connections then, since that of a response without content is idle already.

Without the closing of idle connections upstream.TestConnectionOfAMalformedResponseIsUsedNoMore fails.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -5,7 +5,10 @@
 // Reader stands between a connection and the parser, and fails at the first line that is malformed.
 package answer
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Reason tells why a head is refused.
 type Reason string
@@ -40,6 +43,17 @@
 	ProtocolSwitch Reason = "protocol-switch"
 )
 
+// CheckOnce returns a *HeadError if one of the named fields comes more than once in a parsed head. Fields
+// that say whose response it is come once. Names are in canonical form.
+func CheckOnce(h http.Header, names ...string) error {
+	for _, name := range names {
+		if len(h[name]) > 1 {
+			return newHeadError(RepeatedField, []byte(name))
+		}
+	}
+	return nil
+}
+
 // HeadError reports a head that the standard doesn't allow. The request may have run.
 type HeadError struct {
 	Reason Reason
--- a/answer/readers_test.go
+++ b/answer/readers_test.go
@@ -206,6 +206,29 @@
 	return nil
 }
 
+// TestReadersCheckWhoseResponseItIs guards against responses whose owner or version is given twice.
+func TestReadersCheckWhoseResponseItIs(t *testing.T) {
+	twice := map[string]string{
+		"requests of the users' platform": "Request-Id: other\r\n",
+		"calls of plain services":         "X-Request-Id: other\r\n",
+		"calls that must not run twice":   "x-request-id: own\r\n",
+		"streams of engines":              "X-Instance: p2\r\n",
+		"load reports":                    "X-Instance: p1\r\nX-Instance: p2\r\n",
+		"published lists":                 "X-Index: 2\r\n",
+		"the platform's store":            "Store-Era: 1\r\nStore-Era: 2\r\n",
+	}
+	for _, reader := range responseReaders() {
+		if twice[reader.name] == "" {
+			continue // tells nothing of the kind
+		}
+		t.Run(reader.name, func(t *testing.T) {
+			if err := reader.read(t, startServer(t, headCase{head: ok}, reader.fields+twice[reader.name], reader.body)); err == nil {
+				t.Error("believed")
+			}
+		})
+	}
+}
+
 // TestEveryReaderChecksHeads guards against a place that reads responses without the check of their heads.
 func TestEveryReaderChecksHeads(t *testing.T) {
 	for _, reader := range responseReaders() {
--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -162,6 +162,24 @@
 // way where they end, and that callers get with another body or as they are.
 func TestMalformedFramingIsNoAnswer(t *testing.T) { checkMalformed(t, malformedFramings()) }
 
+// unclearOwners are responses that don't say plainly whose they are.
+func unclearOwners() []malformedResponse {
+	const head, body = "HTTP/1.1 200 OK\r\n" + signed, "Content-Length: 5\r\n\r\nwrong"
+	return []malformedResponse{
+		{"ID of another request after its own", head + "Request-Id: other\r\n" + body},
+		{"ID twice", head + "Request-Id: %[1]s\r\n" + body},
+		{"ID twice, in other letters", head + "request-id: %[1]s\r\n" + body},
+		{"two signatures", head + "Response-Seal: t\r\n" + body},
+		{"two upstreams", head + "Instance-Id: u1\r\nInstance-Id: u9\r\n" + body},
+		{"failure with two IDs", "HTTP/1.1 500 X\r\n" + signed + "Request-Id: other\r\n" + body},
+		{"not run, with two IDs", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\n" + signed + "Request-Id: other\r\n" + body},
+	}
+}
+
+// TestResponseOfUnclearOwnerIsNoAnswer guards against responses that name two requests, or bear two
+// signatures, and that callers get as the answer to theirs.
+func TestResponseOfUnclearOwnerIsNoAnswer(t *testing.T) { checkMalformed(t, unclearOwners()) }
+
 // TestUnusualSoundResponsesGoOn guards against a check that refuses what the standard allows.
 func TestUnusualSoundResponsesGoOn(t *testing.T) {
 	const body = "Content-Length: 5\r\n\r\nright"
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -167,6 +167,9 @@
 		}
 		x.conn.limited.unlimit()
 		head := d.ParseResponse(response)
+		if head.Malformed != nil {
+			return head.Malformed
+		}
 		if head.ID == r.ID || head.ID == "" && !x.conn.Reused {
 			x.Response, x.Head = response, head
 			return nil
--- a/registry/registry.go
+++ b/registry/registry.go
@@ -19,6 +19,7 @@
 
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"mulberrydyke/answer"
 	"mulberrydyke/clock"
 	"mulberrydyke/link"
 	"mulberrydyke/plan"
@@ -156,6 +157,9 @@
 	fail := func(reason string) (Value, error) {
 		return Value{}, &ReadError{Address: address, Kind: kind, Reason: reason}
 	}
+	if err := answer.CheckOnce(response.Header, IndexHeader); err != nil {
+		return fail(err.Error())
+	}
 	index, err := strconv.ParseUint(response.Header.Get(IndexHeader), 10, 64)
 	if err != nil {
 		return fail("missing or invalid " + IndexHeader + " header")
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -164,6 +164,9 @@
 	}
 	sentAt := time.Now()
 	response, err := service.DoRequest(request)
+	if err == nil {
+		err = c.checkIdentity(response)
+	}
 	if err != nil {
 		c.reportMalformed(err)
 		return nil, c.sendError(ctx, err, gotConn.Load())
@@ -177,6 +180,17 @@
 	return response, nil
 }
 
+// checkIdentity returns an error if a response does not say plainly whose it is. Its connection is closed
+// then, which is idle already if the response has no content.
+func (c *Client) checkIdentity(response *http.Response) error {
+	err := answer.CheckOnce(response.Header, RequestIDHeader, InstanceHeader)
+	if err != nil {
+		_ = response.Body.Close()
+		c.transports[0].CloseIdleConnections()
+	}
+	return err
+}
+
 // reportMalformed calls onMalformed if err is that of a response with a malformed head.
 func (c *Client) reportMalformed(err error) {
 	var malformed *answer.HeadError
