Give no request what follows another's response

What callers saw: on the product's own interface, bytes that follow a response and look like another one became the answer of the next request over the same connection. 20 to 29 of 4,800 calls got such a body where an upstream adds it to each response: to one without content (204, 304, of a HEAD request), with a length or in chunks. On the users' platform the case is sound: link closes a connection with bytes left over, and believes on a kept one only a response with the ID of the request.

Cause: a client of net/http puts a connection back before it looks for bytes left over. A request that takes it at once waits for a response, and gets them.

Fix: a connection of link.CheckResponses follows each response to its end: none where the status or the method has no content, the length, or the last chunk and its trailer. It hands out nothing that comes after it, and closes the connection, so that a request which takes it is not sent and goes over another one. The line that net/http logged for each such connection is gone too. MalformedError is the former HeadError, since bodies can be malformed now.

--- a/answer/answer.go
+++ b/answer/answer.go
@@ -1,8 +1,9 @@
-// Package answer checks the heads of HTTP/1 responses before a parser believes them.
+// Package answer checks HTTP/1 responses before a parser believes them.
 //
 // net/http accepts heads that RFC 9110 and RFC 9112 don't allow. What it makes of some of them is not
 // what the server sent: a status that doesn't exist, or a body that is a part of something else. A
-// Reader stands between a connection and the parser, and fails at the first line that is malformed.
+// Reader stands between a connection and the parser, and fails at the first line that is malformed. For
+// a parser that lets the next request over a connection have what follows a response, it fails there too.
 package answer
 
 import (
@@ -10,10 +11,10 @@
 	"net/http"
 )
 
-// Reason tells why a head is refused.
+// Reason tells why a response is refused.
 type Reason string
 
-// Reasons to refuse a head.
+// Reasons to refuse a response.
 const (
 	// BadVersion means that the version is not one of HTTP/1.
 	BadVersion Reason = "bad-version"
@@ -39,23 +40,27 @@
 	LengthAndCoding Reason = "length-and-coding"
 	// UnexpectedContent means that a head declares content, and has a status that never has any.
 	UnexpectedContent Reason = "unexpected-content"
+	// BadChunkSize means that the size of a chunk is not a hexadecimal number.
+	BadChunkSize Reason = "bad-chunk-size"
+	// BytesAfterEnd means that bytes follow a whole response, which no request waits for.
+	BytesAfterEnd Reason = "bytes-after-end"
 	// ProtocolSwitch means that the server turns to another protocol, which no request asks for.
 	ProtocolSwitch Reason = "protocol-switch"
 )
 
-// CheckOnce returns a *HeadError if one of the named fields comes more than once in a parsed head. Fields
+// CheckOnce returns a *MalformedError if one of the named fields comes more than once in a parsed head. Fields
 // that say whose response it is come once. Names are in canonical form.
 func CheckOnce(h http.Header, names ...string) error {
 	for _, name := range names {
 		if len(h[name]) > 1 {
-			return newHeadError(RepeatedField, []byte(name))
+			return newError(RepeatedField, []byte(name))
 		}
 	}
 	return nil
 }
 
-// HeadError reports a head that the standard doesn't allow. The request may have run.
-type HeadError struct {
+// MalformedError reports a response that the standard doesn't allow. The request may have run.
+type MalformedError struct {
 	Reason Reason
 	// Line is the beginning of the line that is malformed, at most maxQuotedBytes long.
 	Line string
@@ -64,10 +69,10 @@
 // maxQuotedBytes limits what an error quotes of a response.
 const maxQuotedBytes = 64
 
-func newHeadError(reason Reason, line []byte) *HeadError {
-	return &HeadError{Reason: reason, Line: string(line[:min(len(line), maxQuotedBytes)])}
+func newError(reason Reason, line []byte) *MalformedError {
+	return &MalformedError{Reason: reason, Line: string(line[:min(len(line), maxQuotedBytes)])}
 }
 
-func (e *HeadError) Error() string {
+func (e *MalformedError) Error() string {
 	return fmt.Sprintf("malformed response: %s: %q", e.Reason, e.Line)
 }
--- a/answer/checker.go
+++ b/answer/checker.go
@@ -18,14 +18,18 @@
 	content
 )
 
-// Checker checks the heads of the response to one request as their bytes arrive: any number of interim
-// ones, and the final one. The zero value is ready to use.
+// Checker checks the response to one request as its bytes arrive: the heads of any number of interim ones,
+// that of the final one, and where its body ends. The zero value is ready to use and checks no bodies.
 type Checker struct {
 	section section
-	// line is the beginning of a line whose end has not arrived. It is empty in the content.
-	line []byte
+	lines   lines
 	// head is what the head that is being read has said so far, or what the final one has said.
 	head head
+	// body is checked in the content if checksBody is set.
+	body       body
+	checksBody bool
+	// method is that of the request.
+	method string
 }
 
 // head is what a head says of its response.
@@ -41,39 +45,32 @@
 }
 
 // Check checks the next bytes of a response. It returns how many of them a parser may have. These are
-// all, unless it fails with a *HeadError; then they end before the end of the line that is malformed.
+// all, unless it fails with a *MalformedError; then they end before the end of the line that is malformed,
+// or with the body.
 func (c *Checker) Check(p []byte) (int, error) {
 	checked := 0
-	for c.section != content {
-		end := bytes.IndexByte(p[checked:], '\n')
-		if end < 0 {
-			c.line = append(c.line, p[checked:]...)
+	for checked < len(p) {
+		if c.section == content {
+			n, err := c.body.check(p[checked:])
+			return checked + n, err
+		}
+		first := c.section == statusLine && c.lines.atStart()
+		line, n, whole := c.lines.next(p[checked:])
+		if !whole {
 			break
 		}
-		first := c.section == statusLine && len(c.line) == 0
-		if err := c.checkLine(c.join(p[checked : checked+end])); err != nil {
+		if err := c.checkLine(line); err != nil {
 			if first && checked == 0 {
 				// A client of net/http may send a request again if it can't read the first byte.
 				checked = 1
 			}
 			return checked, err
 		}
-		c.line = c.line[:0]
-		checked += end + 1
+		checked += n
 	}
 	return len(p), nil
 }
 
-// join returns a line whose end has arrived, without its line ending.
-func (c *Checker) join(end []byte) []byte {
-	line := end
-	if len(c.line) > 0 {
-		c.line = append(c.line, end...)
-		line = c.line
-	}
-	return bytes.TrimSuffix(line, []byte("\r"))
-}
-
 // checkLine checks a line of a head.
 func (c *Checker) checkLine(line []byte) error {
 	switch {
@@ -93,11 +90,11 @@
 	status, reason, _ := bytes.Cut(rest, []byte(" "))
 	switch {
 	case !isVersion(version):
-		return newHeadError(BadVersion, line)
+		return newError(BadVersion, line)
 	case !isStatus(status):
-		return newHeadError(BadStatus, line)
+		return newError(BadStatus, line)
 	case !isText(reason):
-		return newHeadError(BadStatusLine, line)
+		return newError(BadStatusLine, line)
 	}
 	c.head = head{status: int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0'), minor: version[len(version)-1]}
 	return nil
@@ -131,14 +128,14 @@
 	name, value, named := bytes.Cut(line, []byte(":"))
 	switch {
 	case line[0] == ' ' || line[0] == '\t':
-		return newHeadError(FoldedLine, line)
+		return newError(FoldedLine, line)
 	case !named || !isToken(name):
-		return newHeadError(BadFieldName, line)
+		return newError(BadFieldName, line)
 	case !isText(value):
-		return newHeadError(BadFieldValue, line)
+		return newError(BadFieldValue, line)
 	}
 	if reason := c.head.update(name, bytes.Trim(value, " \t")); reason != "" {
-		return newHeadError(reason, line)
+		return newError(reason, line)
 	}
 	return nil
 }
@@ -166,11 +163,15 @@
 // endHead checks a head as a whole. An interim one is followed by another.
 func (c *Checker) endHead() error {
 	if reason := c.head.check(); reason != "" {
-		return newHeadError(reason, []byte("status "+strconv.Itoa(c.head.status)))
+		return newError(reason, []byte("status "+strconv.Itoa(c.head.status)))
 	}
-	c.section = content
 	if c.head.status < http.StatusOK {
 		c.section = statusLine
+		return nil
+	}
+	c.section = content
+	if c.checksBody {
+		c.body = newBody(c.method, c.head)
 	}
 	return nil
 }
--- a/answer/checker_test.go
+++ b/answer/checker_test.go
@@ -199,7 +199,7 @@
 	buffered := bufio.NewReader(r)
 	for {
 		response, err := http.ReadResponse(buffered, nil)
-		var malformed *answer.HeadError
+		var malformed *answer.MalformedError
 		switch {
 		case errors.As(r.Err(), &malformed):
 			if err == nil && response.StatusCode >= http.StatusOK {
@@ -218,7 +218,7 @@
 func TestErrorsQuoteLittle(t *testing.T) {
 	r := answer.NewReader(strings.NewReader("HTTP/1.1 000 " + strings.Repeat("x", 1<<20) + "\r\n\r\n"))
 	_, err := io.ReadAll(r)
-	var malformed *answer.HeadError
+	var malformed *answer.MalformedError
 	if !errors.As(err, &malformed) || len(malformed.Line) > 100 {
 		t.Errorf("error %.200v", err)
 	}
@@ -231,15 +231,15 @@
 	if _, err := io.ReadFull(r, make([]byte, len(first))); err != nil {
 		t.Fatal(err)
 	}
-	if err := r.Expect(nil); err != nil {
+	if err := r.Expect("GET", nil); err != nil {
 		t.Fatal(err)
 	}
 	_, err := io.ReadAll(r)
-	var malformed *answer.HeadError
+	var malformed *answer.MalformedError
 	if !errors.As(err, &malformed) || malformed.Reason != answer.BadStatus {
 		t.Errorf("error %v", err)
 	}
-	if err := r.Expect(nil); !errors.As(err, &malformed) {
+	if err := r.Expect("GET", nil); !errors.As(err, &malformed) {
 		t.Errorf("a connection with a malformed response is used again: %v", err)
 	}
 }
@@ -247,13 +247,58 @@
 // TestExpectChecksWhatIsBuffered checks that the part of a head which a buffer has already read is checked.
 func TestExpectChecksWhatIsBuffered(t *testing.T) {
 	r := answer.NewReader(strings.NewReader("00 X\r\n"))
-	if err := r.Expect([]byte("HTTP/1.1 0")); err != nil {
+	if err := r.Expect("GET", []byte("HTTP/1.1 0")); err != nil {
 		t.Fatal(err)
 	}
 	if raw, err := io.ReadAll(r); err == nil {
 		t.Errorf("%q was believed", raw)
 	}
-	if err := answer.NewReader(strings.NewReader("")).Expect([]byte("HTTP/1.1 000 X\r\n")); err == nil {
+	if err := answer.NewReader(strings.NewReader("")).Expect("GET", []byte("HTTP/1.1 000 X\r\n")); err == nil {
 		t.Error("a head in the buffer was believed")
 	}
 }
+
+// TestReaderEndsWithTheResponse checks that a reader which follows bodies ends exactly where each does, and
+// that bytes after it are refused, however all arrive.
+func TestReaderEndsWithTheResponse(t *testing.T) {
+	for _, c := range framingCases {
+		body := strings.Repeat("a line\r\n0\r\n\r\n", 30)
+		if strings.Contains(c.head, " 204 ") || strings.Contains(c.head, " 304 ") {
+			body = ""
+		}
+		whole := c.response("", body)
+		if c.want != "" || strings.HasSuffix(whole, "X-A: b\r\n\r\n"+body) && body != "" {
+			continue // refused, or without an end
+		}
+		t.Run(c.name, func(t *testing.T) {
+			text := whole + "HTTP/1.1 200 OK\r\n\r\n"
+			for arrival, source := range map[string]io.Reader{
+				"at once":   strings.NewReader(text),
+				"in bytes":  iotest.OneByteReader(strings.NewReader(text)),
+				"in halves": iotest.HalfReader(strings.NewReader(text)),
+			} {
+				r := answer.NewReader(source, answer.WithBodies())
+				got, err := io.ReadAll(r)
+				var malformed *answer.MalformedError
+				if !errors.As(err, &malformed) || malformed.Reason != answer.BytesAfterEnd {
+					t.Errorf("%s: error %v", arrival, err)
+				}
+				if diff := cmp.Diff(whole, string(got)); diff != "" {
+					t.Errorf("%s: %s", arrival, diff)
+				}
+			}
+		})
+	}
+}
+
+// TestMalformedChunksAreRefused checks that a reader which follows bodies refuses sizes that are none.
+func TestMalformedChunksAreRefused(t *testing.T) {
+	for _, size := range []string{"", "x", "-1", "+5", "0x5", "5 5", " 5", "7fffffffffffffff", "10000000000000000"} {
+		text := ok + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\nright\r\n0\r\n\r\n"
+		_, err := io.ReadAll(answer.NewReader(strings.NewReader(text), answer.WithBodies()))
+		var malformed *answer.MalformedError
+		if !errors.As(err, &malformed) || malformed.Reason != answer.BadChunkSize {
+			t.Errorf("size %q: error %v", size, err)
+		}
+	}
+}
--- a/call/call.go
+++ b/call/call.go
@@ -129,7 +129,7 @@
 // response.
 type ResponseHead struct {
 	Status int
-	// Malformed is an *answer.HeadError if the response does not say plainly whose it is. The other
+	// Malformed is an *answer.MalformedError if the response does not say plainly whose it is. The other
 	// fields have no meaning then.
 	Malformed error
 	// ID is the request that the response belongs to, or "" if it names none.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,7 +29,7 @@
 
 // RecordMalformedResponse counts the response of an upstream if err says that its head was malformed.
 func (m *Metrics) RecordMalformedResponse(err error) {
-	var malformed *answer.HeadError
+	var malformed *answer.MalformedError
 	if errors.As(err, &malformed) {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`mulberrydyke_malformed_responses_total{reason=%q}`, malformed.Reason)).Inc()
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -129,7 +129,7 @@
 func (h *Host) buildLists() {
 	malformed := &malformedRecorder{log: h.log, metrics: h.metrics}
 	upstreams, cleanup := upstream.NewSet(h.settings.Bounds.StreamIdleTimeout.Std(),
-		upstream.WithMalformedFunc(func(id plan.UpstreamID, err *answer.HeadError) { malformed.record(time.Now(), id, err) }))
+		upstream.WithMalformedFunc(func(id plan.UpstreamID, err *answer.MalformedError) { malformed.record(time.Now(), id, err) }))
 	h.upstreams = upstreams
 	h.cleanups = append(h.cleanups, cleanup)
 	client, cleanup := registry.NewClient(h.settings.Platform)
--- a/host/malformed.go
+++ b/host/malformed.go
@@ -25,7 +25,7 @@
 }
 
 // record counts a response, and logs it if none was logged for malformedLogInterval.
-func (r *malformedRecorder) record(now time.Time, id plan.UpstreamID, err *answer.HeadError) {
+func (r *malformedRecorder) record(now time.Time, id plan.UpstreamID, err *answer.MalformedError) {
 	r.metrics.RecordMalformedResponse(err.Reason)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/host/malformed_test.go
+++ b/host/malformed_test.go
@@ -21,7 +21,7 @@
 	start := time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
 	const responses, interval = 3000, time.Millisecond
 	for i := range responses {
-		r.record(start.Add(time.Duration(i)*interval), "u", &answer.HeadError{Reason: answer.BadStatus, Line: "HTTP/1.1 000 X"})
+		r.record(start.Add(time.Duration(i)*interval), "u", &answer.MalformedError{Reason: answer.BadStatus, Line: "HTTP/1.1 000 X"})
 	}
 	r.metrics.WritePrometheus(&counters)
 	counted := strings.Contains(counters.String(), `mulberrydyke_malformed_responses_total{reason="bad-status"} 3000`)
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -153,7 +153,7 @@
 
 // readHead reads response headers until one belongs to the request. It skips 1xx
 // responses and responses to other requests. One that names no request is accepted
-// only on a connection that had no other. It fails with an *answer.HeadError if a header
+// only on a connection that had no other. It fails with an *answer.MalformedError if a header
 // is malformed.
 func (x *Exchange) readHead(d call.Dialect, r *call.Request) error {
 	for range maxStrayResponses {
@@ -187,7 +187,7 @@
 // readResponse reads the header of one response to a request with a method.
 func (c *Conn) readResponse(method string) (*http.Response, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
-	if err := c.answers.Expect(buffered); err != nil {
+	if err := c.answers.Expect(method, buffered); err != nil {
 		return nil, err
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
--- a/link/transport.go
+++ b/link/transport.go
@@ -15,14 +15,21 @@
 	answers *answer.Reader
 }
 
-// Read implements net.Conn. It fails with an *answer.HeadError where the head of a response is malformed.
-func (c *checkedConn) Read(p []byte) (int, error) { return c.answers.Read(p) }
+// Read implements net.Conn. It fails with an *answer.MalformedError where a response is malformed, and closes
+// the connection, so that no further request is sent.
+func (c *checkedConn) Read(p []byte) (int, error) {
+	n, err := c.answers.Read(p)
+	if c.answers.Err() != nil {
+		_ = c.Close()
+	}
+	return n, err
+}
 
 // checkedTransport sends requests over connections that it checks.
 type checkedTransport struct{ transport *http.Transport }
 
-// CheckResponses makes a transport fail with an *answer.HeadError where the head of a response is
-// malformed, and close the connection. The transport opens its connections with dialer, as DialOrderly
+// CheckResponses makes a transport fail with an *answer.MalformedError where a response is malformed, and
+// close the connection there and where bytes follow a response. The transport opens its connections with dialer, as DialOrderly
 // does. It must not use TLS, and its requests have to go through the returned round tripper.
 func CheckResponses(transport *http.Transport, dialer *net.Dialer) http.RoundTripper {
 	dial := DialOrderly(dialer)
@@ -31,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &checkedConn{Conn: c, answers: answer.NewReader(c)}, nil
+		return &checkedConn{Conn: c, answers: answer.NewReader(c, answer.WithBodies())}, nil
 	}
 	return &checkedTransport{transport: transport}
 }
@@ -43,7 +50,7 @@
 		if c, ok := info.Conn.(*checkedConn); ok {
 			conn = c
 			// A failure is met again by the first read.
-			_ = c.answers.Expect(nil)
+			_ = c.answers.Expect(request.Method, nil)
 		}
 	}}
 	response, err := t.transport.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -61,7 +61,7 @@
 }
 
 // MalformedFunc is called with an upstream whose response has a malformed head.
-type MalformedFunc func(plan.UpstreamID, *answer.HeadError)
+type MalformedFunc func(plan.UpstreamID, *answer.MalformedError)
 
 // Option changes a Client, or all clients of a Set.
 type Option func(*Client)
@@ -73,7 +73,7 @@
 // NewClient returns a client for an upstream and its cleanup function. A request
 // fails if it makes no progress for progressTimeout.
 func NewClient(u plan.Upstream, progressTimeout time.Duration, options ...Option) (*Client, func()) {
-	c := &Client{id: u.ID, address: u.Address, progressTimeout: progressTimeout, onMalformed: func(plan.UpstreamID, *answer.HeadError) {}}
+	c := &Client{id: u.ID, address: u.Address, progressTimeout: progressTimeout, onMalformed: func(plan.UpstreamID, *answer.MalformedError) {}}
 	for _, option := range options {
 		option(c)
 	}
@@ -193,7 +193,7 @@
 
 // reportMalformed calls onMalformed if err is that of a response with a malformed head.
 func (c *Client) reportMalformed(err error) {
-	var malformed *answer.HeadError
+	var malformed *answer.MalformedError
 	if errors.As(err, &malformed) {
 		c.onMalformed(c.id, malformed)
 	}
--- a/upstream/malformed_test.go
+++ b/upstream/malformed_test.go
@@ -41,7 +41,7 @@
 		server.Start()
 		var reported []plan.UpstreamID
 		c, cleanup := NewClient(plan.Upstream{ID: "u", Address: server.Listener.Addr().String()}, testProgressTimeout,
-			WithMalformedFunc(func(id plan.UpstreamID, _ *answer.HeadError) { reported = append(reported, id) }))
+			WithMalformedFunc(func(id plan.UpstreamID, _ *answer.MalformedError) { reported = append(reported, id) }))
 		var failures []bool
 		for i := range 2 {
 			_, err := c.Call(t.Context(), Request{ID: fmt.Sprint(i), Method: http.MethodPost, Path: "/"}, 1<<10)
