Pass on responses after any number of interim ones

What callers saw: 502 for a sound response with three or more interim ones before it, as from an upstream that sends 102 while it works. The request has run.

Cause: link counted interim responses among those that belong to other requests, of which it skips two.

Fix: the reader of one response skips its interim ones. They have 64 KiB together with the head, as the limit's comment says; before, each had that by itself.

Evidence: the row with 30 interim responses that gateway.TestUnusualSoundResponsesGoOn has now fails on, and passes. gateway.TestEndlessResponsesAreCut, which has interim heads without end, holds.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -191,6 +191,7 @@
 		{"HTTP/1.0 200 OK\r\n" + signed + body, "right", 200},
 		{"HTTP/1.1 200 OK\n" + strings.ReplaceAll(signed+body, "\r", ""), "right", 200},
 		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\n" + signed + body, "right", 200},
+		{strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 30) + "HTTP/1.1 200 OK\r\n" + signed + body, "right", 200},
 		{"HTTP/1.1 200 OK\r\n" + signed + "transfer-encoding:Chunked\r\n\r\n5;a=b\r\nright\r\n0\r\nX-Note: x\r\n\r\n", "right", 200},
 		{"HTTP/1.1 201 X\r\n" + signed + body, "right", 201},
 		{"HTTP/1.1 204 X\r\n" + signed + "Content-Length: 0\r\n\r\n", "", 204},
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -151,21 +151,16 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// readHead reads response headers until one belongs to the request. It skips 1xx
-// responses and responses to other requests. One that names no request is accepted
+// readHead reads response headers until one belongs to the request. It skips
+// responses to other requests. One that names no request is accepted
 // only on a connection that had no other. It fails with an *answer.MalformedError if a header
 // is malformed.
 func (x *Exchange) readHead(d call.Dialect, r *call.Request) error {
 	for range maxStrayResponses {
-		x.conn.limited.limit(maxHeadBytes)
 		response, err := x.conn.readResponse(r.Method)
 		if err != nil {
 			return err
 		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		x.conn.limited.unlimit()
 		head := d.ParseResponse(response)
 		if head.Malformed != nil {
 			return head.Malformed
@@ -184,17 +179,24 @@
 	return errStray
 }
 
-// readResponse reads the header of one response to a request with a method.
+// readResponse reads the header of one response to a request with a method. It skips
+// interim responses, which together with the header have at most maxHeadBytes.
 func (c *Conn) readResponse(method string) (*http.Response, error) {
+	c.limited.limit(maxHeadBytes)
+	defer c.limited.unlimit()
 	buffered, _ := c.reader.Peek(c.reader.Buffered())
 	if err := c.answers.Expect(method, buffered); err != nil {
 		return nil, err
 	}
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	if malformed := c.answers.Err(); malformed != nil {
-		return nil, malformed
+	for {
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if malformed := c.answers.Err(); malformed != nil {
+			return nil, malformed
+		}
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
 	}
-	return response, err
 }
 
 // Body returns the response body. Reads fail if the connection is interrupted, also where the
