Send calls of the own interface with one trace

What callers saw: nothing. The check of responses cost calls of the own interface 60.9 to 64.8 microseconds in place of 57.4 to 59.9 (20,000 plain requests over a kept connection, six runs each).

Cause: upstream.Client traces whether a connection was obtained, and link.CheckResponses which. net/http joins two traces of a request by reflection.

Fix: link.WithSent, so that one trace does both.

--- a/link/transport.go
+++ b/link/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 
 	"mulberrydyke/answer"
 )
@@ -43,10 +44,23 @@
 	return &checkedTransport{transport: transport}
 }
 
+// sentKey is the key of a context for WithSent.
+type sentKey struct{}
+
+// WithSent returns a context for a request that is sent with CheckResponses. Sent is set once there is a
+// connection for the request, which may then have been sent.
+func WithSent(ctx context.Context, sent *atomic.Bool) context.Context {
+	return context.WithValue(ctx, sentKey{}, sent)
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *checkedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var conn *checkedConn
+	sent, _ := request.Context().Value(sentKey{}).(*atomic.Bool)
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if sent != nil {
+			sent.Store(true)
+		}
 		if c, ok := info.Conn.(*checkedConn); ok {
 			conn = c
 			// A failure is met again by the first read.
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -10,7 +10,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -143,9 +142,8 @@
 // request with a ticket never uses a pooled connection. Errors are of type
 // *Error.
 func (c *Client) send(ctx context.Context, r Request) (*http.Response, error) {
-	var gotConn atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), r.Method,
+	var sent atomic.Bool
+	request, err := http.NewRequestWithContext(link.WithSent(ctx, &sent), r.Method,
 		"http://"+c.address+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
 		return nil, &Error{Upstream: c.id, Fault: NotSent, Reason: err.Error()}
@@ -169,7 +167,7 @@
 	}
 	if err != nil {
 		c.reportMalformed(err)
-		return nil, c.sendError(ctx, err, gotConn.Load())
+		return nil, c.sendError(ctx, err, sent.Load())
 	}
 	if instance := response.Header.Get(InstanceHeader); instance != "" {
 		c.instance.Store(pool.Instance(instance))
@@ -203,10 +201,10 @@
 // Without a connection nothing was sent. This also covers requests that the
 // client's circuit breaker refuses, since it does so before a connection is
 // obtained.
-func (c *Client) sendError(ctx context.Context, err error, gotConn bool) error {
+func (c *Client) sendError(ctx context.Context, err error, sent bool) error {
 	fault := Broken
 	switch {
-	case !gotConn:
+	case !sent:
 		fault = NotSent
 	case errors.Is(context.Cause(ctx), errNoProgress):
 		fault = Silent
