--- a/answer/answer.go
+++ b/answer/answer.go
@@ -48,8 +48,8 @@
 	ProtocolSwitch Reason = "protocol-switch"
 )
 
-// CheckOnce returns a *MalformedError if one of the named fields comes more than once in a parsed head. Fields
-// that say whose response it is come once. Names are in canonical form.
+// CheckOnce returns a *MalformedError if one of the named fields, such as those that say whose response it
+// is, comes more than once in a parsed head. Names are in canonical form.
 func CheckOnce(h http.Header, names ...string) error {
 	for _, name := range names {
 		if len(h[name]) > 1 {
--- a/answer/checker.go
+++ b/answer/checker.go
@@ -14,7 +14,7 @@
 	statusLine section = iota
 	// fields are the lines after it, up to the empty one.
 	fields
-	// content is all that follows the final head.
+	// content is all that follows the final head: the body, and what comes after it.
 	content
 )
 
--- a/answer/framing.go
+++ b/answer/framing.go
@@ -6,7 +6,7 @@
 	"strconv"
 )
 
-// Fields that say where the content of a response ends.
+// Fields that say where the body of a response ends.
 const (
 	lengthField = "Content-Length"
 	codingField = "Transfer-Encoding"
--- a/link/exchange.go
+++ b/link/exchange.go
@@ -151,10 +151,9 @@
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
 
-// readHead reads response headers until one belongs to the request. It skips
-// responses to other requests. One that names no request is accepted
-// only on a connection that had no other. It fails with an *answer.MalformedError if a header
-// is malformed.
+// readHead reads response headers until one belongs to the request. It skips responses
+// to other requests. One that names no request is accepted only on a connection that had
+// no other. It fails with an *answer.MalformedError if a header is malformed.
 func (x *Exchange) readHead(d call.Dialect, r *call.Request) error {
 	for range maxStrayResponses {
 		response, err := x.conn.readResponse(r.Method)
--- a/link/transport.go
+++ b/link/transport.go
@@ -26,12 +26,12 @@
 	return n, err
 }
 
-// checkedTransport sends requests over connections that it checks.
+// checkedTransport sends requests over a transport whose connections are of type *checkedConn.
 type checkedTransport struct{ transport *http.Transport }
 
-// CheckResponses makes a transport fail with an *answer.MalformedError where a response is malformed, and
-// close the connection there and where bytes follow a response. The transport opens its connections with dialer, as DialOrderly
-// does. It must not use TLS, and its requests have to go through the returned round tripper.
+// CheckResponses returns a round tripper that sends requests over a transport and checks the responses.
+// It fails with an *answer.MalformedError where one is malformed. Connections are closed there, and where
+// bytes follow a response. They are opened with dialer, as DialOrderly does, and must not use TLS.
 func CheckResponses(transport *http.Transport, dialer *net.Dialer) http.RoundTripper {
 	dial := DialOrderly(dialer)
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/upstream/client.go
+++ b/upstream/client.go
@@ -55,18 +55,18 @@
 	transports [2]*http.Transport
 	// instance holds a pool.Instance.
 	instance atomic.Value
-	// onMalformed is called with each response whose head is malformed. It is not nil.
+	// onMalformed is not nil.
 	onMalformed MalformedFunc
 }
 
-// MalformedFunc is called with an upstream whose response has a malformed head.
+// MalformedFunc is called with an upstream whose response is malformed.
 type MalformedFunc func(plan.UpstreamID, *answer.MalformedError)
 
 // Option changes a Client, or all clients of a Set.
 type Option func(*Client)
 
-// WithMalformedFunc makes a client call f with each response whose head is malformed. The default
-// is to call nothing. The request fails in both cases.
+// WithMalformedFunc makes a client call f with each malformed response, whose request fails. The default
+// is to call nothing.
 func WithMalformedFunc(f MalformedFunc) Option { return func(c *Client) { c.onMalformed = f } }
 
 // NewClient returns a client for an upstream and its cleanup function. A request
@@ -189,7 +189,7 @@
 	return err
 }
 
-// reportMalformed calls onMalformed if err is that of a response with a malformed head.
+// reportMalformed calls onMalformed if err is that of a malformed response.
 func (c *Client) reportMalformed(err error) {
 	var malformed *answer.MalformedError
 	if errors.As(err, &malformed) {
