Test that what follows a response is sound on the users' platform

The system already handles this: link closes a connection with bytes left over, and believes on a kept one only a response with the ID of its request. The test has bytes that look like a response come with each response, or a millisecond later.

--- a/gateway/malformed_test.go
+++ b/gateway/malformed_test.go
@@ -47,8 +47,15 @@
 		if answered++; answered != wholeBefore+1 {
 			return whole(conn, r)
 		}
-		_, _ = io.WriteString(conn, strings.ReplaceAll(text, "%[1]s", r.Header.Get("Request-Id")))
-		return true
+		return respondText(text)(conn, r)
+	}
+}
+
+// respondText returns a handler that sends a text, with the ID of the request in place of each %[1]s.
+func respondText(text string) stubHandler {
+	return func(conn net.Conn, r receivedRequest) bool {
+		_, err := io.WriteString(conn, strings.ReplaceAll(text, "%[1]s", r.Header.Get("Request-Id")))
+		return err == nil
 	}
 }
 
