--- a/review/lab-4/host.go
+++ b/review/lab-4/host.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -196,18 +195,3 @@
 	}
 	return errors.New(h.name + " is not ready")
 }
-
-// peakMemory returns the most memory that the process has had, in bytes.
-func (h *host) peakMemory() (int, error) {
-	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
-	if err != nil {
-		return 0, err
-	}
-	_, rest, _ := strings.Cut(string(raw), "VmHWM:")
-	fields := strings.Fields(rest)
-	if len(fields) == 0 {
-		return 0, errors.New("no peak memory")
-	}
-	kilobytes, err := strconv.Atoi(fields[0])
-	return kilobytes << 10, err
-}
--- a/review/lab-4/main.go
+++ b/review/lab-4/main.go
@@ -26,7 +26,9 @@
 }
 
 var cases = map[string]func(*caseRun) (broken bool, err error){
-	"watch-cut": watchCut,
+	"watch-cut":  watchCut,
+	"long-heads": longHeads,
+	"no-birth":   noBirth,
 }
 
 func main() {
--- a/review/lab-4/runner.go
+++ b/review/lab-4/runner.go
@@ -70,7 +70,8 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
-	ended bool
+	// leaving is set once its answers say that it leaves.
+	leaving bool
 }
 
 func newRunner(id, service, zone string, rec *record, runs *runList) (*runner, error) {
@@ -110,12 +111,28 @@
 	_ = u.listener.Close()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.ended = true
 	for conn := range u.conns {
 		_ = conn.Close()
 	}
 }
 
+// setLeaving makes the runner say in all answers that it leaves.
+func (u *runner) setLeaving() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.leaving = true
+}
+
+// leavingLine returns the header line of a runner that leaves, or nothing.
+func (u *runner) leavingLine() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.leaving {
+		return "Server-Leaving: 1\r\n"
+	}
+	return ""
+}
+
 func (u *runner) serve(conn net.Conn) {
 	defer func() {
 		_ = conn.Close()
@@ -139,7 +156,7 @@
 func (u *runner) handle(conn net.Conn, request *http.Request) bool {
 	id := request.Header.Get("Request-Id")
 	if request.Header.Get("Expect-Instance") != u.id {
-		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, u.id)
+		_, err := fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\n%sContent-Length: 0\r\n\r\n", id, u.id, u.leavingLine())
 		return err == nil
 	}
 	u.runs.add(run{id: id, runner: u.id, at: time.Now()})
@@ -149,6 +166,6 @@
 	}
 	time.Sleep(u.work)
 	body := "answer to " + id
-	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\nContent-Length: %d\r\n\r\n%s", id, u.id, len(body), body)
+	_, err := fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Seal: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, u.id, u.leavingLine(), len(body), body)
 	return err == nil
 }
--- a/review/lab-4/watchcut.go
+++ b/review/lab-4/watchcut.go
@@ -64,12 +64,7 @@
 	time.Sleep(3 * time.Second)
 	close(stop)
 	answers := <-done
-	lost := 0
-	for _, a := range answers {
-		if (a.err != nil || a.status >= 500 && a.status != 503) && len(runs.of(a.id)) > 0 {
-			lost++
-		}
-	}
+	lost := lostRequests(answers, runs)
 	late := runs.at(leaver.id, gone.Add(drainMs*time.Millisecond+arrivalSlack))
 	last := time.Duration(0)
 	for _, r := range late {
