Review: end the hosts of a script also if its output is closed

A run whose output was read by a program that had ended left its hosts behind. The driver now outlives that, ends its hosts when it is told to end, and chooses addresses at which no host runs.

--- a/review/lab-4/host.go
+++ b/review/lab-4/host.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +22,13 @@
 	internalPort = 7200
 )
 
+// firstOctet and octets bound the second octet of the hosts' addresses, which keeps those of several cases
+// apart.
+const (
+	firstOctet = 16
+	octets     = 200
+)
+
 // zoneNames are the zones of the deployment.
 var zoneNames = []string{"dk-east-a", "dk-east-b", "dk-east-c"}
 
@@ -36,9 +45,12 @@
 	store                    string
 }
 
-// startFleet starts hosts at addresses of their own and waits until all are ready.
-func startFleet(dir string, f fleetSettings) ([]*host, error) {
-	octet := 16 + os.Getpid()%200
+// startFleet starts hosts at addresses of their own and waits until all are ready. It calls started with each.
+func startFleet(dir string, f fleetSettings, started func(*host)) error {
+	octet, err := freeOctet()
+	if err != nil {
+		return err
+	}
 	var hosts []*host
 	var seeds []string
 	for i := range f.hosts {
@@ -50,18 +62,33 @@
 	}
 	for _, h := range hosts {
 		if err := h.writeSettings(dir, f, seeds); err != nil {
-			return hosts, err
+			return err
 		}
 		if err := h.start(); err != nil {
-			return hosts, err
+			return err
 		}
+		started(h)
 	}
 	for _, h := range hosts {
 		if err := h.awaitReady(10 * time.Second); err != nil {
-			return hosts, err
+			return err
+		}
+	}
+	return nil
+}
+
+// freeOctet returns the second octet of addresses at which no host runs.
+func freeOctet() (int, error) {
+	first := rand.IntN(octets)
+	for i := range octets {
+		octet := firstOctet + (first+i)%octets
+		conn, err := net.ListenPacket("udp4", fmt.Sprintf("127.%d.0.1:%d", octet, internalPort))
+		if err != nil {
+			continue
 		}
+		return octet, conn.Close()
 	}
-	return hosts, nil
+	return 0, errors.New("no free addresses")
 }
 
 func (h *host) writeSettings(dir string, f fleetSettings, seeds []string) error {
--- a/review/lab-4/main.go
+++ b/review/lab-4/main.go
@@ -5,7 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"sync"
+	"syscall"
 )
 
 // Exit statuses of a case.
@@ -22,7 +25,9 @@
 	record *record
 	// trouble is unset if the case is to run without its disruption.
 	trouble bool
-	hosts   []*host
+	// mu guards hosts.
+	mu    sync.Mutex
+	hosts []*host
 }
 
 var cases = map[string]func(*caseRun) (broken bool, err error){
@@ -54,6 +59,7 @@
 	defer os.RemoveAll(dir)
 	c := &caseRun{dir: dir, record: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	defer c.end()
+	c.endOnSignal()
 	broken, err := cases[name](c)
 	switch {
 	case err != nil:
@@ -69,13 +75,30 @@
 
 // startHosts starts the hosts of a case.
 func (c *caseRun) startHosts(f fleetSettings) error {
-	hosts, err := startFleet(c.dir, f)
-	c.hosts = hosts
-	return err
+	return startFleet(c.dir, f, func(h *host) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.hosts = append(c.hosts, h)
+	})
+}
+
+// endOnSignal ends all processes of the case if this one is told to end. A reader of the output that goes
+// away ends nothing.
+func (c *caseRun) endOnSignal() {
+	signal.Ignore(syscall.SIGPIPE)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		c.end()
+		os.Exit(exitNotRun)
+	}()
 }
 
 // end ends all processes that the case has started.
 func (c *caseRun) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, h := range c.hosts {
 		h.kill()
 	}
