--- a/review/lab-4/longhead.go
+++ b/review/lab-4/longhead.go
@@ -23,6 +23,9 @@
 	// labelDeadline and queryDeadline are how long clients wait.
 	labelDeadline = 4 * time.Second
 	queryDeadline = 12 * time.Second
+	// modelRunners is the number of model runners, and soundRunners that of those that answer as they
+	// should. The others are half of them, rounded up: share (.5) of garble.
+	modelRunners, soundRunners = 9, 4
 	// longHeadTime is for how long requests are sent.
 	longHeadTime = 20 * time.Second
 )
@@ -61,7 +64,7 @@
 	return err == nil
 }
 
-// longHeads has the runners of a service answer with long heads and bodies without end. The rule is broken
+// longHeads has half of the runners of a service answer with long heads and bodies without end. The rule is broken
 // if a host takes more memory than its machine has.
 func longHeads(c *caseRun) (bool, error) {
 	s, err := newStore()
@@ -70,14 +73,14 @@
 	}
 	defer s.close()
 	runs := &runList{}
-	for i := range 9 {
+	for i := range modelRunners {
 		u, err := newRunner(fmt.Sprintf("i-pool-%d", i), "pool", zoneNames[i%len(zoneNames)], c.record, runs)
 		if err != nil {
 			return false, err
 		}
 		defer u.end()
 		u.answer = soundStream
-		if c.trouble {
+		if c.trouble && i >= soundRunners {
 			u.answer = longHead
 		}
 		s.put("servers/"+u.id, u.entry("ready"))
