--- a/review/lab-4/longhead.go
+++ b/review/lab-4/longhead.go
@@ -26,6 +26,15 @@
 	// modelRunners is the number of model runners, and soundRunners that of those that answer as they
 	// should. The others are half of them, rounded up: share (.5) of garble.
 	modelRunners, soundRunners = 9, 4
+	// lookupRunners are the sound runners of the other service, lookupCallers its callers, one request at a
+	// time each over a kept connection.
+	lookupRunners, lookupCallers = 3, 20
+	lookupWork                   = 60 * time.Millisecond
+	lookupDeadline               = 4 * time.Second
+	// maxLost is how many such requests LOST allows to end without an answer.
+	maxLost = 3
+	// restartDelay is how long the platform takes to start a process again.
+	restartDelay = time.Second
 	// longHeadTime is for how long requests are sent.
 	longHeadTime = 20 * time.Second
 )
@@ -64,8 +73,9 @@
 	return err == nil
 }
 
-// longHeads has half of the runners of a service answer with long heads and bodies without end. The rule is broken
-// if a host takes more memory than its machine has.
+// longHeads has half of the runners of a service answer with long heads and bodies without end. The platform's
+// part ends the host where its memory is over that of its machine, and starts it again. LOST is broken if more
+// than maxLost lookups, which sound runners of the other service have begun, end without an answer.
 func longHeads(c *caseRun) (bool, error) {
 	s, err := newStore()
 	if err != nil {
@@ -73,15 +83,23 @@
 	}
 	defer s.close()
 	runs := &runList{}
-	for i := range modelRunners {
-		u, err := newRunner(fmt.Sprintf("i-pool-%d", i), "pool", zoneNames[i%len(zoneNames)], c.record, runs)
+	for i := range modelRunners + lookupRunners {
+		service := "pool"
+		if i >= modelRunners {
+			service = "api"
+		}
+		u, err := newRunner(fmt.Sprintf("i-%s-%d", service, i), service, zoneNames[i%len(zoneNames)], c.record, runs)
 		if err != nil {
 			return false, err
 		}
 		defer u.end()
-		u.answer = soundStream
-		if c.trouble && i >= soundRunners {
+		switch {
+		case service == "api":
+			u.work = lookupWork
+		case c.trouble && i >= soundRunners:
 			u.answer = longHead
+		default:
+			u.answer = soundStream
 		}
 		s.put("servers/"+u.id, u.entry("ready"))
 	}
@@ -91,24 +109,56 @@
 	}
 	h, stop := c.hosts[0], make(chan struct{})
 	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var lookups []answer
 	wg.Go(func() { load(c.record, c.hosts, "/blazon/1", labelsPerSecond, labelDeadline, stop) })
 	wg.Go(func() { load(c.record, c.hosts, "/letter/1", queriesPerSecond, queryDeadline, stop) })
-	most := 0
-	for end := time.Now().Add(longHeadTime); time.Now().Before(end) && h.running(); time.Sleep(50 * time.Millisecond) {
+	for range lookupCallers {
+		wg.Go(func() {
+			got := keepSending(c.record, h, "/status/1", lookupDeadline, stop)
+			mu.Lock()
+			defer mu.Unlock()
+			lookups = append(lookups, got...)
+		})
+	}
+	most, ends, err := c.boundMemory(h, smallMemoryMB<<20, longHeadTime)
+	close(stop)
+	wg.Wait()
+	lost := 0
+	for _, a := range lookups {
+		if a.err != nil && a.answeredWithin < lookupDeadline && len(runs.of(a.id)) > 0 {
+			lost++
+		}
+	}
+	c.record.say("%s took up to %d MB of its own, of %d MB that the machine has, and was ended %d times; of %d lookups %d ended without an answer though a sound runner had begun them",
+		h.name, most>>20, smallMemoryMB, ends, len(lookups), lost)
+	return lost > maxLost, err
+}
+
+// boundMemory does for a time what the platform does: it ends a host that takes more memory than its machine has,
+// and starts it again. It returns the most memory that the host took, and how often it was ended.
+func (c *caseRun) boundMemory(h *host, limit int, span time.Duration) (most, ends int, err error) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		now, err := h.ownMemory()
 		if err != nil {
-			return false, err
+			return most, ends, err
 		}
 		if now > most+(1<<20) {
 			c.record.add("%s takes %d MB", h.name, now>>20)
 		}
 		most = max(most, now)
+		if now <= limit {
+			continue
+		}
+		ends++
+		c.record.add("%s is ended, since it takes %d MB", h.name, now>>20)
+		h.kill()
+		time.Sleep(restartDelay)
+		if err := h.start(); err != nil {
+			return most, ends, err
+		}
 	}
-	close(stop)
-	h.kill()
-	wg.Wait()
-	c.record.say("%s took up to %d MB of its own, of %d MB that the machine has", h.name, most>>20, smallMemoryMB)
-	return most > smallMemoryMB<<20, nil
+	return most, ends, nil
 }
 
 // ownMemory returns the memory of the process, without that of its program file.
